Charge binds and withdrawals what they cost, push on as proxies confirm, no cut at start

Cause: before any proxy joined, the level of an op type without demand came out as the least one and went out free; at full size the channel never had room to undo it, so half the ops were refused on idle servers. Told by notes of levels: admitted 1.00, level sent 0.06. Binds were also charged for twice the whole fleet.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -96,6 +96,7 @@
 type table struct {
 	id   control.TableID
 	cell *cell // nil: the commons
+	used bool  // by a joined proxy
 }
 
 // opType is what the module reads of one op type.
@@ -138,6 +139,7 @@
 	tables                  []*table // the cells' and, last, the commons
 	orders                  []control.Order
 	number                  int     // of the last checkpoint
+	held                    bool    // an order waits for room in the channel
 	waiting, target         float64 // lines not confirmed; mean target latency in seconds
 	demand, power, load     float64 // of known proxies, of usable servers, mean percent
 	each, offered           float64 // work a unit of power does; work that comes, repeats aside
@@ -179,6 +181,7 @@
 		a.leave(ev.Proxy)
 	case control.InForce:
 		a.confirm(ev)
+		return a.held
 	case control.Digest:
 		a.digest(ev)
 	case control.Arrivals:
@@ -651,9 +654,6 @@
 
 // level says how much of an op type is let in: what the admitted share leaves after those that earn more.
 func (a *Assigner) level(i int) float64 {
-	if a.facts.Levels != control.LevelShare {
-		return 1
-	}
 	total, before, own := 0.0, 0.0, 0.0
 	for _, p := range a.joined {
 		for j, r := range p.rates {
@@ -665,7 +665,10 @@
 			}
 		}
 	}
-	share := (a.admitted*total - before) / max(own, tiny)
+	if a.facts.Levels != control.LevelShare || own <= 0 {
+		return 1
+	}
+	share := (a.admitted*total - before) / own
 	return math.Round(50*min(1, max(leastLevel, share))) / 50
 }
 
@@ -688,6 +691,7 @@
 // push sends what differs from what was sent, the most urgent first, as the channel has room. Where keys
 // have slices, and while no server lives, only withdrawals are sent.
 func (a *Assigner) push() {
+	a.held = false
 	if a.place(); a.facts.Slices == 0 && a.power > 0 {
 		a.putLines(hardWaiting)
 		a.withdraw()
@@ -698,7 +702,7 @@
 	}
 	a.withdraw()
 	for _, e := range a.listed {
-		if e.out && e.usable() && a.charge(softWaiting, 1, a.joined...) {
+		if e.out && e.usable() && a.charge(softWaiting, 1, a.holders(e)...) {
 			e.out = false
 			a.do(control.Suspend{Endpoint: e.id})
 		}
@@ -722,16 +726,27 @@
 	})
 }
 
+// holders are the proxies whose tables may name a server: they alone are sent its withdrawal.
+func (a *Assigner) holders(e *endpoint) (hold []*proxy) {
+	for _, p := range a.joined {
+		if p.table == nil || e.told[p.table.id] > 0 {
+			hold = append(hold, p)
+		}
+	}
+	return hold
+}
+
 // withdraw shuts out what is not to be sent to; a sick one stays where a proxy would be left bare.
 func (a *Assigner) withdraw() {
 	for _, e := range a.listed {
 		if e.out || e.usable() {
 			continue
 		}
-		bare := e.mode == control.Ready && slices.ContainsFunc(a.joined, func(p *proxy) bool {
-			return p.table != nil && e.told[p.table.id] > 0 && !a.serves(p.table, e)
+		holders := a.holders(e)
+		bare := e.mode == control.Ready && slices.ContainsFunc(a.tables, func(t *table) bool {
+			return t.used && e.told[t.id] > 0 && !a.serves(t, e)
 		})
-		if !bare && a.charge(hardWaiting, 1, a.joined...) {
+		if !bare && a.charge(hardWaiting, 1, holders...) {
 			e.out = true
 			a.do(control.Suspend{Endpoint: e.id, Out: true})
 		}
@@ -749,6 +764,7 @@
 				users = append(users, p)
 			}
 		}
+		t.used = users != nil
 		for _, e := range a.listed {
 			want, told := a.want(t, e), e.told[t.id]
 			later := room == hardWaiting && told != 0 && (want == 0 || want > told)
@@ -772,9 +788,16 @@
 		if !p.placed || p.table == t || later || !a.serves(t, nil) {
 			continue
 		}
-		lines := 1 + 2*float64(len(a.listed)) // at most
+		lines := 1.0
+		for _, e := range a.listed {
+			if e.told[t.id] > 0 && e.out {
+				lines += 2 // its withdrawal is sent along
+			} else if e.told[t.id] > 0 {
+				lines++
+			}
+		}
 		if a.charge(room, lines, p) {
-			p.table = t
+			p.table, t.used = t, true
 			a.do(control.Bind{Table: t.id, Proxy: p.id})
 		}
 	}
@@ -801,6 +824,7 @@
 		}
 	}
 	if need > 0 && a.waiting+need > room*a.facts.MostWaiting {
+		a.held = true
 		return false
 	}
 	a.waiting += need
