Cells by size: an area has as many as leave each two standing tables of servers, 8 proxies

Cause: a cell a zone means a table of 100 lines for each of hundreds of proxies: too many lines to lay or change, and a connection from each proxy to each server, past their caps.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -59,6 +59,9 @@
 	lopsided    = 10.0  // times the price of crossing: how far a cell may be filled past even
 	nearness    = 100.0 // a server of the own zone counts 1+(nearness*price)^2 times for home
 	tiny        = 1e-9  // stands for nothing where it divides
+	roomCell    = 2     // standing tables of servers, at least, in each of an area's cells
+	crowd       = 8     // proxies, at least, for each of them
+	fewLines    = 4     // standing tables: a commons of no more is for everybody
 	cheap       = 0.02  // a crossing under this price: zones are paired into cells
 )
 
@@ -67,6 +70,7 @@
 // endpoint is all that is known of one server.
 type endpoint struct {
 	id              control.EndpointID
+	area            int
 	cell            *cell
 	weight          float64 // as listed
 	mode            control.Mode
@@ -82,9 +86,10 @@
 // tally sums up the shares that failed of servers that were tried enough.
 type tally struct{ servers, fails float64 }
 
-// cell is a group of zones whose servers share a table.
+// cell is a group of servers of one area that share a table.
 type cell struct {
 	table                                   *table
+	area                                    int
 	servers, ready, sick                    int
 	live                                    bool
 	met                                     tally // over its servers
@@ -135,7 +140,8 @@
 	listed                  []*endpoint // by id
 	joined, known           []*proxy    // joined, by id; joined and away
 	ops                     []opType
-	cells, zoneCell         []*cell
+	areas                   int // zones, or pairs of them: each has cells of its own
+	cells                   []*cell
 	tables                  []*table // the cells' and, last, the commons
 	orders                  []control.Order
 	number                  int     // of the last checkpoint
@@ -218,20 +224,9 @@
 		a.ops = append(a.ops, opType{cost: cost, density: t.Revenue / cost, level: -1})
 		a.target += cost / float64(len(f.OpTypes))
 	}
-	count := max(1, f.Zones)
+	a.areas = max(1, f.Zones)
 	if f.CrossZonePrice < cheap {
-		count = (count + 1) / 2
-	}
-	for i := range count {
-		t := &table{id: control.TableID(i)}
-		t.cell = &cell{table: t, live: true, since: control.LongAgo, answeredAt: a.now}
-		a.cells, a.tables = append(a.cells, t.cell), append(a.tables, t)
-	}
-	if count > 1 {
-		a.tables = append(a.tables, &table{id: control.TableID(count)})
-	}
-	for z := range max(1, f.Zones) {
-		a.zoneCell = append(a.zoneCell, a.cells[z%count])
+		a.areas = (a.areas + 1) / 2
 	}
 	if f.AskForList {
 		a.do(control.WatchList{On: true})
@@ -239,7 +234,52 @@
 	a.do(control.Wake{After: f.ReportEvery, Label: beat})
 }
 
-func (a *Assigner) cellOf(zone int) *cell { return a.zoneCell[min(zone, len(a.zoneCell)-1)] }
+// group lays out the cells by the first list: an area has as many as leave each enough servers for its
+// proxies to spread over and enough proxies for their demands to even out.
+func (a *Assigner) group() {
+	servers := make([]float64, a.areas)
+	for _, e := range a.listed {
+		servers[e.area]++
+	}
+	for area, n := range servers {
+		proxies := float64(a.facts.Proxies) * n / max(1, float64(len(a.listed)))
+		most := min(n/(roomCell*float64(max(1, a.facts.Bootstrap))), proxies/crowd)
+		for range max(1, int(most)) {
+			t := &table{id: control.TableID(len(a.tables))}
+			t.cell = &cell{table: t, area: area, live: true, since: control.LongAgo, answeredAt: a.now}
+			a.cells, a.tables = append(a.cells, t.cell), append(a.tables, t)
+		}
+	}
+	if len(a.cells) > 1 {
+		a.tables = append(a.tables, &table{id: control.TableID(len(a.tables))})
+	}
+}
+
+// enter gives new servers, by id, to the cells of their area that have least.
+func (a *Assigner) enter() {
+	slices.SortFunc(a.listed, func(x, y *endpoint) int { return cmp.Compare(x.id, y.id) })
+	if a.cells == nil {
+		a.group()
+	}
+	weight := make([]float64, len(a.tables))
+	for _, e := range a.listed {
+		if e.cell != nil && e.mode != control.Gone {
+			weight[e.cell.table.id] += e.weight
+		}
+	}
+	for _, e := range a.listed {
+		if e.cell != nil {
+			continue
+		}
+		for _, c := range a.cells {
+			if c.area == e.area && (e.cell == nil || weight[c.table.id] < weight[e.cell.table.id]) {
+				e.cell = c
+			}
+		}
+		weight[e.cell.table.id] += e.weight
+		e.told, e.ease = make([]float64, len(a.tables)), cmp.Or(e.cell.ease, 1)
+	}
+}
 
 // listing brings the records up to date. A started server gets its quarter of what its cell was eased to.
 func (a *Assigner) listing(l control.Listing) {
@@ -255,21 +295,23 @@
 		e := a.endpoints[n.Endpoint]
 		fresh := e == nil
 		if fresh {
-			e = &endpoint{id: n.Endpoint, started: control.LongAgo, told: make([]float64, len(a.tables))}
+			e = &endpoint{id: n.Endpoint, started: control.LongAgo, area: n.Zone % a.areas, ease: 1}
 			a.endpoints[e.id] = e
 			a.listed = append(a.listed, e)
-			slices.SortFunc(a.listed, func(x, y *endpoint) int { return cmp.Compare(x.id, y.id) })
 		}
-		e.cell, e.mode, e.weight = a.cellOf(n.Zone), n.Mode, 1
+		e.mode, e.weight = n.Mode, 1
 		if a.facts.ListedWeights && n.Weight > 0 && !math.IsInf(n.Weight, 0) {
 			e.weight = n.Weight
 		}
 		if fresh || n.Started > e.started {
 			e.started, e.turnAt, e.eased = n.Started, control.LongAgo, control.LongAgo
 			e.tries, e.fails, e.load, e.sick, e.spells = 0, 0, -1, false, 0
-			e.ease = cmp.Or(e.cell.ease, 1)
+			if e.cell != nil {
+				e.ease = cmp.Or(e.cell.ease, 1)
+			}
 		}
 	}
+	a.enter()
 }
 
 func (a *Assigner) join(j control.Joined) {
@@ -375,8 +417,8 @@
 		return min(1, entry+(1-entry)*math.Floor(done*entries)/entries)
 	}
 	f := stepped(a.cold(e))
-	if crowd := min(press, max(1, a.fill(e.cell, 0)/even)); f < 1 {
-		f /= max(1, math.Round(a.pressed*crowd*tolerant/max(1, a.facts.OverloadFactor)))
+	if swell := min(press, max(1, a.fill(e.cell, 0)/even)); f < 1 {
+		f /= max(1, math.Round(a.pressed*swell*tolerant/max(1, a.facts.OverloadFactor)))
 	}
 	return e.ease * min(f, stepped((a.now-e.turnAt).Seconds()/(easeLags*a.lag()).Seconds()))
 }
@@ -548,7 +590,8 @@
 // spread tells who without room goes to the commons: all where tables stay few, else who is too heavy.
 func (a *Assigner) spread(p *proxy) bool {
 	heavy := p.demand/max(a.demand, tiny)*float64(len(a.cells))*even > a.roomy()
-	return len(a.cells) > 1 && (heavy || 3*len(a.tables) <= a.facts.Proxies)
+	few := 3*len(a.tables) <= a.facts.Proxies && len(a.listed) <= fewLines*a.facts.Bootstrap
+	return len(a.cells) > 1 && (heavy || few)
 }
 
 // rank orders the cells for a proxy by its identity hash, weighted by the cells' listed servers; where
@@ -559,7 +602,7 @@
 		h := (uint64(p.id)+1)*0x9E3779B97F4A7C15 ^ (uint64(c.table.id)+1)*0xC2B2AE3D27D4EB4F
 		h = (h ^ h>>31) * 0xBF58476D1CE4E5B9
 		w := float64(c.servers)
-		if a.cellOf(p.zone) == c {
+		if p.zone%a.areas == c.area {
 			w *= near
 		}
 		return -math.Log((float64((h^h>>29)>>11)+0.5)/(1<<53)) / max(w, tiny)
