--- a/policy/policy.go
+++ b/policy/policy.go
@@ -60,7 +60,7 @@
 	nearness    = 100.0 // a server of the own zone counts 1+(nearness*price)^2 times for home
 	tiny        = 1e-9  // stands for nothing where it divides
 	roomCell    = 2     // standing tables of servers, at least, in each of an area's cells
-	crowd       = 8     // proxies, at least, for each of them
+	crowd       = 5     // proxies, at least, for each of them
 	fewLines    = 4     // standing tables: a commons of no more is for everybody
 	cheap       = 0.02  // a crossing under this price: zones are paired into cells
 )
