--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,7 +43,7 @@
 	smoothing   = 0.4     // the newest sum's part in a running mean
 	steady      = 20.0    // tries that weigh as much as all before them
 	unhurried   = 0.15    // of the target latency: how long an op takes on an idle server
-	outShare    = 1.0 / 3 // of the listed weight: at most so much is out as sick
+	outShare    = 1.0 / 3 // of a cell's servers: at most so many are out as sick
 	sickMargin  = 0.25    // of the tries, failing more than elsewhere
 	lost        = 0.9     // of the tries failing: nothing is lost by taking it out
 	wholly      = 0.95    // let in: what comes is free of repeats
@@ -434,7 +434,6 @@
 // another cell stands.
 func (a *Assigner) health() {
 	a.met = tally{}
-	weight, out := 0.0, 0.0
 	for _, c := range a.cells {
 		c.ready, c.sick, c.met = 0, 0, tally{}
 	}
@@ -444,14 +443,12 @@
 		if e.mode != control.Ready {
 			continue
 		}
-		weight += e.weight
 		e.cell.ready++
 		if e.sick && a.now-e.turnAt >= e.sickFor {
 			e.sick, e.turnAt, e.load, e.tries, e.fails = false, a.now, -1, 0, 0
 			e.ease = max(leastEase, e.ease*easeStep) // a slow one drowns again at its whole weight
 		}
 		if e.sick {
-			out += e.weight
 			e.cell.sick++
 		} else if e.tries >= leastTries {
 			a.met.add(e.fails)
@@ -468,10 +465,9 @@
 		}
 		share, rest := e.fails, min(a.failing, (a.met.fails-e.fails)/max(1, a.met.servers-1))
 		if share > rest+sickMargin && (e.load < busy && a.cold(e) == 1 || share > lost && e.load < full) &&
-			(out+e.weight <= outShare*weight || share > lost && a.stands(e.cell)) {
+			(e.cell.sick < int(outShare*float64(e.cell.ready)) || share > lost && a.stands(e.cell)) {
 			e.sickFor = time.Duration((1 + a.chance()) * float64(a.lag()<<min(e.spells, settledLags)))
 			e.sick, e.turnAt, e.spells = true, a.now, e.spells+1
-			out += e.weight
 			e.cell.sick++
 		}
 	}
