--- a/policy/policy.go
+++ b/policy/policy.go
@@ -85,47 +85,46 @@
 	sickFor, eased  time.Duration
 }
 
+// tally sums up the shares that failed of servers that were tried enough.
+type tally struct{ servers, fails float64 }
+
 // cell is a group of servers of one area that share a table.
 type cell struct {
 	table                                   *table
 	area                                    int
 	servers, ready, sick                    int
 	live                                    bool
-	failing                                 float64 // of the tries, at its middle server
+	met                                     tally // over its servers
 	since, answeredAt                       time.Duration
 	demand, power, load, score, ease, heard float64
-	each, offered                           float64 // work a unit of power does; work that comes, repeats aside
-	pressed                                 float64 // what is sent over what can be done
-	admitted, lagged, trim                  float64 // shares of the work: let in, let in a lag ago, left by distress
-	trimAt                                  time.Duration
 }
 
 // table is one shared table; the commons spans all cells.
 type table struct {
-	id     control.TableID
-	cell   *cell     // nil: the commons
-	used   bool      // by a joined proxy
-	levels []float64 // as last sent, by op type; below 0: not yet
+	id   control.TableID
+	cell *cell // nil: the commons
+	used bool  // by a joined proxy
 }
 
 // opType is what the module reads of one op type.
 type opType struct {
 	cost, density float64 // of work, as far as its target latency tells; revenue for it
+	level         float64 // as last sent; below 0: not yet
 }
 
 // proxy is one that has joined, or is away with the tables it holds.
 type proxy struct {
-	id              control.ProxyID
-	zone            int
-	rates           []float64 // work a second, by op type
-	demand, offered float64   // their total; the same, repeats aside
-	ranked          []*cell   // home first
-	cell            *cell     // where it belongs; nil: the commons
-	table           *table    // as last sent; nil: its standing table
-	placed, away    bool
-	leftAt          time.Duration
-	lines           float64 // of the message that this turn writes to it
-	pending         []message
+	id           control.ProxyID
+	zone         int
+	rates        []float64 // work a second, by op type
+	demand       float64   // their total
+	ranked       []*cell   // home first
+	cell         *cell     // where it belongs; nil: the commons
+	table        *table    // as last sent; nil: its standing table
+	placed, away bool
+	leftAt       time.Duration
+	lines        float64 // of the message that this turn writes to it
+	pending      []message
 }
 
 // message is one that its proxy has not confirmed.
@@ -136,24 +135,26 @@
 
 // Assigner is one instance; its first event is its start.
 type Assigner struct {
-	facts               control.Facts
-	now, window         time.Duration // window: what sums span
-	carry               uint64        // of the generator
-	endpoints           map[control.EndpointID]*endpoint
-	listed              []*endpoint // by id
-	joined, known       []*proxy    // joined, by id; joined and away
-	ops                 []opType
-	areas               int // zones, or pairs of them: each has cells of its own
-	cells               []*cell
-	tables              []*table // the cells' and, last, the commons
-	orders              []control.Order
-	number              int     // of the last checkpoint
-	held                bool    // an order waits for room in the channel
-	waiting, target     float64 // lines not confirmed; mean target latency in seconds
-	demand, power, load float64 // of known proxies, of usable servers, mean percent
-
-	failing         float64 // where the cell does best
-	moveAt, wroteAt time.Duration
+	facts                   control.Facts
+	now, window             time.Duration // window: what sums span
+	carry                   uint64        // of the generator
+	endpoints               map[control.EndpointID]*endpoint
+	listed                  []*endpoint // by id
+	joined, known           []*proxy    // joined, by id; joined and away
+	ops                     []opType
+	areas                   int // zones, or pairs of them: each has cells of its own
+	cells                   []*cell
+	tables                  []*table // the cells' and, last, the commons
+	orders                  []control.Order
+	number                  int     // of the last checkpoint
+	held                    bool    // an order waits for room in the channel
+	waiting, target         float64 // lines not confirmed; mean target latency in seconds
+	demand, power, load     float64 // of known proxies, of usable servers, mean percent
+	each, offered           float64 // work a unit of power does; work that comes, repeats aside
+	met                     tally   // over usable servers
+	pressed, failing        float64 // what is sent over what can be done; failing where the cell does best
+	admitted, lagged, trim  float64 // shares of the work: let in, let in a lag ago, left by distress
+	moveAt, trimAt, wroteAt time.Duration
 }
 
 // Decide takes what happened at one moment and returns what is to be done.
@@ -216,12 +217,13 @@
 }
 
 func (a *Assigner) start(s control.Start) {
-	*a = Assigner{facts: s.Facts, now: a.now, carry: s.Seed>>1 | 1, wroteAt: control.LongAgo, endpoints: map[control.EndpointID]*endpoint{}}
+	*a = Assigner{facts: s.Facts, now: a.now, carry: s.Seed>>1 | 1, admitted: 1, lagged: 1, trim: 1,
+		pressed: press, wroteAt: control.LongAgo, endpoints: map[control.EndpointID]*endpoint{}}
 	f := &a.facts
 	f.ReportEvery = max(f.ReportEvery, f.Tick, 100*time.Millisecond)
 	for _, t := range f.OpTypes {
 		cost := max(t.TargetLatency, time.Millisecond).Seconds()
-		a.ops = append(a.ops, opType{cost: cost, density: t.Revenue / cost})
+		a.ops = append(a.ops, opType{cost: cost, density: t.Revenue / cost, level: -1})
 		a.target += cost / float64(len(f.OpTypes))
 	}
 	a.areas = max(1, f.Zones)
@@ -245,24 +247,14 @@
 		proxies := float64(a.facts.Proxies) * n / max(1, float64(len(a.listed)))
 		most := min(n/(roomCell*float64(max(1, a.facts.Bootstrap))), proxies/crowd)
 		for range max(1, int(most)) {
-			c := &cell{area: area, live: true, since: control.LongAgo, answeredAt: a.now, admitted: 1,
-				lagged: 1, trim: 1, pressed: press}
-			c.table = a.lay(c)
-			a.cells = append(a.cells, c)
+			t := &table{id: control.TableID(len(a.tables))}
+			t.cell = &cell{table: t, area: area, live: true, since: control.LongAgo, answeredAt: a.now}
+			a.cells, a.tables = append(a.cells, t.cell), append(a.tables, t)
 		}
 	}
 	if len(a.cells) > 1 {
-		a.lay(nil)
-	}
-}
-
-func (a *Assigner) lay(c *cell) *table {
-	t := &table{id: control.TableID(len(a.tables)), cell: c, levels: make([]float64, len(a.ops))}
-	for i := range t.levels {
-		t.levels[i] = -1
+		a.tables = append(a.tables, &table{id: control.TableID(len(a.tables))})
 	}
-	a.tables = append(a.tables, t)
-	return t
 }
 
 // enter gives new servers, by id, to the cells of their area that have least.
@@ -331,7 +323,6 @@
 		p.rates = append(p.rates, max(j.Rate, 0)*op.cost/float64(len(a.ops)))
 		p.demand += p.rates[len(p.rates)-1]
 	}
-	p.offered = p.demand
 	a.known = append(slices.DeleteFunc(a.known, func(x *proxy) bool { return x.id == p.id }), p)
 	a.joined = append(a.joined, p)
 	slices.SortFunc(a.joined, func(x, y *proxy) int { return cmp.Compare(x.id, y.id) })
@@ -432,7 +423,7 @@
 	}
 	f := stepped(a.cold(e))
 	if swell := min(press, max(1, a.fill(e.cell, 0)/even)); f < 1 {
-		f /= max(1, math.Round(e.cell.pressed*swell*tolerant/max(1, a.facts.OverloadFactor)))
+		f /= max(1, math.Round(a.pressed*swell*tolerant/max(1, a.facts.OverloadFactor)))
 	}
 	return e.ease * min(f, stepped((a.now-e.turnAt).Seconds()/(easeLags*a.lag()).Seconds()))
 }
@@ -447,9 +438,9 @@
 // unless nothing comes back. Past the share that may be out only servers that lose everything go, while
 // another cell stands.
 func (a *Assigner) health() {
-	met := make([][]float64, len(a.cells))
+	a.met = tally{}
 	for _, c := range a.cells {
-		c.ready, c.sick = 0, 0
+		c.ready, c.sick, c.met = 0, 0, tally{}
 	}
 	keep := math.Exp(-a.facts.ReportEvery.Seconds() / a.lag().Seconds())
 	for _, e := range a.listed {
@@ -465,23 +456,20 @@
 		if e.sick {
 			e.cell.sick++
 		} else if e.tries >= leastTries {
-			met[e.cell.table.id] = append(met[e.cell.table.id], e.fails)
+			a.met.add(e.fails)
+			e.cell.met.add(e.fails)
 		}
 	}
 	a.failing = 1
-	for i, c := range a.cells {
-		slices.Sort(met[i])
-		c.failing = 0
-		for _, share := range met[i] {
-			c.failing += share / float64(len(met[i]))
-		}
-		a.failing = min(a.failing, c.failing)
+	for _, c := range a.cells {
+		a.failing = min(a.failing, c.met.fails/max(1, c.met.servers))
 	}
 	for _, e := range a.listed {
 		if !e.usable() || e.tries < leastTries {
 			continue
 		}
-		if share := e.fails; share > a.failing+sickMargin && (e.load < busy && e.queue < queues && a.cold(e) == 1 || share > lost && e.load < full) &&
+		share, rest := e.fails, min(a.failing, (a.met.fails-e.fails)/max(1, a.met.servers-1))
+		if share > rest+sickMargin && (e.load < busy && e.queue < queues && a.cold(e) == 1 || share > lost && e.load < full) &&
 			(e.cell.sick < int(outShare*float64(e.cell.ready)) || share > lost && a.stands(e.cell)) {
 			e.sickFor = time.Duration((1 + a.chance()) * float64(a.lag()<<min(e.spells, settledLags)))
 			e.sick, e.turnAt, e.spells = true, a.now, e.spells+1
@@ -490,6 +478,8 @@
 	}
 }
 
+func (t *tally) add(share float64) { t.servers, t.fails = t.servers+1, t.fails+share }
+
 // stands tells whether another cell lives with most of its servers in.
 func (a *Assigner) stands(but *cell) bool {
 	return slices.ContainsFunc(a.cells, func(c *cell) bool { return c != but && c.live && 2*c.sick < c.ready })
@@ -664,73 +654,52 @@
 	}
 }
 
-// admit sets the share of the work that each cell lets in: what its servers can do over what is offered, both
-// learned while all is well and held in distress, when sums are late and repeats swell them. Lasting distress
-// trims the share, a step a lag; many failing tries cut it deep, for only that clears a jam.
+// admit sets the share of the work that is let in: what the servers can do over what is offered, both
+// learned while all is well and held in distress, when sums are late and repeats swell them. Lasting
+// distress trims the share, a step a lag; many failing tries cut it deep, for only that clears a jam.
 func (a *Assigner) admit() {
+	failing, all := a.failing, a.met.fails/max(1, a.met.servers)
+	if a.load >= calm { // else one hot cell is for the moves to cool
+		failing = all
+	}
+	distress := a.load >= busy || failing > failsMuch
 	k := min(1, a.facts.ReportEvery.Seconds()/a.lag().Seconds())
-	for _, c := range a.cells {
-		failing := a.failing
-		if c.load >= calm { // else its failing servers are for health to find
-			failing = c.failing
-		}
-		distress := a.load >= busy || failing > failsMuch
-		c.lagged += k * (c.admitted - c.lagged)
-		c.offered = 0
-		for _, p := range a.known {
-			if p.cell == c {
-				if distress || c.lagged < wholly {
-					p.offered = min(p.demand, p.offered)
-				} else {
-					p.offered += k * (p.demand - p.offered)
-				}
-				c.offered += p.offered
-			} else if p.cell == nil && p.table != nil {
-				c.offered += p.offered * c.power / max(a.power, tiny)
-			}
-		}
-		known := c.power > 0 && c.load > idle && a.now > settledLags*a.lag()
-		now := c.lagged * c.offered * 100 / max(c.load, idle) / max(c.power, tiny)
-		if known && (c.each == 0 || !distress || c.lagged > wholly && now < c.each) {
-			c.each = cmp.Or(c.each, now)
-			c.each += k * (now - c.each)
-		}
-		share := 1.0 // until it is known what the servers can do
-		if c.each > 0 && c.offered > 0 {
-			share = setpoint * c.each * c.power / c.offered
-		}
-		c.pressed = max(c.pressed-k/2, min(press, 1/max(1-c.failing, tiny)))
-		if c.admitted < 1 || c.load == 0 { // a jam may be on its way
-			c.pressed = press
-		}
-		if since := a.now - c.trimAt; distress && since > a.lag() {
-			c.trim, c.trimAt = setpoint*min(c.trim, 1/share), a.now
-		} else if !distress && c.load < calm && since > a.lag() {
-			c.trim, c.trimAt = min(1, c.trim+regain/2), a.now
-		}
-		goal := min(1, share*c.trim)
-		if failing > failsMuch {
-			goal *= (1 - failing) * (1 - failing)
-		}
-		c.admitted = max(leastLevel, min(goal, c.admitted+regain*k))
+	a.lagged += k * (a.admitted - a.lagged)
+	if a.offered == 0 || distress || a.lagged < wholly {
+		a.offered = min(a.demand, cmp.Or(a.offered, a.demand))
+	} else {
+		a.offered += k * (a.demand - a.offered)
+	}
+	known := a.power > 0 && a.load > idle && a.now > settledLags*a.lag()
+	now := a.lagged * a.offered * 100 / max(a.load, idle) / max(a.power, tiny)
+	if known && (a.each == 0 || !distress || a.lagged > wholly && now < a.each) {
+		a.each = cmp.Or(a.each, now)
+		a.each += k * (now - a.each)
+	}
+	share := 1.0 // until it is known what the servers can do
+	if a.each > 0 && a.offered > 0 {
+		share = setpoint * a.each * a.power / a.offered
+	}
+	a.pressed = max(a.pressed-k/2, min(press, 1/max(1-all, tiny)))
+	if a.admitted < 1 || a.load == 0 { // a jam may be on its way
+		a.pressed = press
+	}
+	if since := a.now - a.trimAt; distress && since > a.lag() {
+		a.trim, a.trimAt = setpoint*min(a.trim, 1/share), a.now
+	} else if !distress && a.load < calm && since > a.lag() {
+		a.trim, a.trimAt = min(1, a.trim+regain/2), a.now
+	}
+	goal := min(1, share*a.trim)
+	if failing > failsMuch {
+		goal *= (1 - failing) * (1 - failing)
 	}
+	a.admitted = max(leastLevel, min(goal, a.admitted+regain*k))
 }
 
-// level says how much of an op type a table lets in: what the admitted share leaves after those that earn more.
-func (a *Assigner) level(t *table, i int) float64 {
-	admitted := 0.0
-	for _, c := range a.cells {
-		if c == t.cell {
-			admitted = c.admitted
-		} else if t.cell == nil {
-			admitted += c.admitted * c.power / max(a.power, tiny)
-		}
-	}
+// level says how much of an op type is let in: what the admitted share leaves after those that earn more.
+func (a *Assigner) level(i int) float64 {
 	total, before, own := 0.0, 0.0, 0.0
 	for _, p := range a.joined {
-		if p.cell != t.cell {
-			continue
-		}
 		for j, r := range p.rates {
 			total += r
 			if j == i {
@@ -743,7 +712,7 @@
 	if a.facts.Levels != control.LevelShare || own <= 0 {
 		return 1
 	}
-	share := (admitted*total - before) / own
+	share := (a.admitted*total - before) / own
 	return math.Round(50*min(1, max(leastLevel, share))) / 50
 }
 
@@ -863,7 +832,7 @@
 		if !p.placed || p.table == t || later || !a.serves(t, nil) {
 			continue
 		}
-		lines := 1 + float64(len(a.ops))
+		lines := 1.0
 		for _, e := range a.listed {
 			if e.told[t.id] > 0 && e.out {
 				lines += 2 // its withdrawal is sent along
@@ -880,20 +849,18 @@
 
 // levels sends how much is let in; trying again only what surely never ran is safe for every op type.
 func (a *Assigner) levels() {
-	for _, t := range a.tables {
-		users := slices.DeleteFunc(slices.Clone(a.joined), func(p *proxy) bool { return p.table != t })
-		for i := range a.ops {
-			if level := a.level(t, i); level != t.levels[i] && a.charge(softWaiting, 1, users...) {
-				t.levels[i] = level
-				a.do(control.SetLevel{Table: t.id, OpTypes: 1 << i, Level: level, Again: control.IfUnrun})
-			}
+	for i := range a.ops {
+		op, level := &a.ops[i], a.level(i)
+		if level != op.level && a.charge(softWaiting, 1, a.joined...) {
+			op.level = level
+			a.do(control.SetLevel{Table: control.Everywhere, OpTypes: 1 << i, Level: level, Again: control.IfUnrun})
 		}
 	}
 }
 
-// charge books lines if the channel has room: a message's own and its checkpoint's come first.
+// charge books lines if the channel has room: a message's own, its checkpoint's and the levels' come first.
 func (a *Assigner) charge(room, lines float64, to ...*proxy) bool {
-	head := a.facts.MessageLines + 1
+	head := a.facts.MessageLines + 1 + float64(len(a.ops))
 	need := 0.0
 	for _, p := range to {
 		if need += lines; p.lines == 0 {
