--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,8 +55,6 @@
 	setpoint    = 0.85  // of what the servers can do is let in; and what one trim leaves
 	regain      = 0.3   // of all work, let in again in a lag
 	leastLevel  = 0.05  // of an op type, always let in
-	press       = 3.0   // the most that repeats are thought to multiply what is sent
-	tolerant    = 4.0   // the overload factor at which press is what cold servers are spared
 	lopsided    = 10.0  // times the price of crossing: how far a cell may be filled past even
 	nearness    = 100.0 // a server of the own zone counts 1+(nearness*price)^2 times for home
 	tiny        = 1e-9  // stands for nothing where it divides
@@ -93,7 +91,7 @@
 	table                                   *table
 	area                                    int
 	servers, ready, sick                    int
-	live                                    bool
+	live, jammed                            bool
 	met                                     tally // over its servers
 	since, answeredAt                       time.Duration
 	demand, power, load, score, ease, heard float64
@@ -152,7 +150,7 @@
 	demand, power, load     float64 // of known proxies, of usable servers, mean percent
 	each, offered           float64 // work a unit of power does; work that comes, repeats aside
 	met                     tally   // over usable servers
-	pressed, failing        float64 // what is sent over what can be done; failing where the cell does best
+	failing                 float64 // where the cell does best
 	admitted, lagged, trim  float64 // shares of the work: let in, let in a lag ago, left by distress
 	moveAt, trimAt, wroteAt time.Duration
 }
@@ -218,7 +216,7 @@
 
 func (a *Assigner) start(s control.Start) {
 	*a = Assigner{facts: s.Facts, now: a.now, carry: s.Seed>>1 | 1, admitted: 1, lagged: 1, trim: 1,
-		pressed: press, wroteAt: control.LongAgo, endpoints: map[control.EndpointID]*endpoint{}}
+		wroteAt: control.LongAgo, endpoints: map[control.EndpointID]*endpoint{}}
 	f := &a.facts
 	f.ReportEvery = max(f.ReportEvery, f.Tick, 100*time.Millisecond)
 	for _, t := range f.OpTypes {
@@ -416,16 +414,13 @@
 }
 
 // fit is the share of its listed weight that a server gets: a quarter from its start on, or from its return
-// after a sick spell, and then even steps up. A cold one gets less while repeats swell what is sent.
+// after a sick spell, and then even steps up.
 func (a *Assigner) fit(e *endpoint) float64 {
 	stepped := func(done float64) float64 {
 		return min(1, entry+(1-entry)*math.Floor(done*entries)/entries)
 	}
-	f := stepped(a.cold(e))
-	if swell := min(press, max(1, a.fill(e.cell, 0)/even)); f < 1 {
-		f /= max(1, math.Round(a.pressed*swell*tolerant/max(1, a.facts.OverloadFactor)))
-	}
-	return e.ease * min(f, stepped((a.now-e.turnAt).Seconds()/(easeLags*a.lag()).Seconds()))
+	back := (a.now - e.turnAt).Seconds() / (easeLags * a.lag()).Seconds()
+	return e.ease * min(stepped(a.cold(e)), stepped(back))
 }
 
 // can is what a server is given and surely does now, in units of listed weight.
@@ -462,7 +457,9 @@
 	}
 	a.failing = 1
 	for _, c := range a.cells {
-		a.failing = min(a.failing, c.met.fails/max(1, c.met.servers))
+		failing := c.met.fails / max(1, c.met.servers)
+		a.failing = min(a.failing, failing)
+		c.jammed = a.facts.OutlierAfter > 0 && (c.heard == 0 || c.load >= busy || failing > sickMargin)
 	}
 	for _, e := range a.listed {
 		if !e.usable() || e.tries < leastTries {
@@ -680,10 +677,6 @@
 	if a.each > 0 && a.offered > 0 {
 		share = setpoint * a.each * a.power / a.offered
 	}
-	a.pressed = max(a.pressed-k/2, min(press, 1/max(1-all, tiny)))
-	if a.admitted < 1 || a.load == 0 { // a jam may be on its way
-		a.pressed = press
-	}
 	if since := a.now - a.trimAt; distress && since > a.lag() {
 		a.trim, a.trimAt = setpoint*min(a.trim, 1/share), a.now
 	} else if !distress && a.load < calm && since > a.lag() {
@@ -723,9 +716,10 @@
 	return p.cell.table
 }
 
-// want is the weight that a table should give a server.
+// want is the weight that a table should give a server. A cold one is kept out while its cell is jammed: where
+// proxies avoid what fails them, one server that still answers gets their whole burst.
 func (a *Assigner) want(t *table, e *endpoint) float64 {
-	early := e.told[t.id] == 0 && a.cold(e) < 1 && e.cell.load >= busy && a.serves(t, e) // into a hot cell
+	early := a.cold(e) < 1 && (e.cell.jammed || e.told[t.id] == 0 && e.cell.load >= busy) && a.serves(t, e)
 	if e.mode == control.Ready && (t.cell == nil || t.cell == e.cell) && !early {
 		return e.weight * a.fit(e)
 	}
@@ -766,7 +760,7 @@
 // serves tells whether a table, as sent, has a line to pick besides one server's.
 func (a *Assigner) serves(t *table, but *endpoint) bool {
 	return slices.ContainsFunc(a.listed, func(e *endpoint) bool {
-		return e != but && e.told[t.id] > 0 && !e.out && e.usable()
+		return e != but && e.told[t.id] > 0 && !e.out && e.usable() && (but == nil || a.cold(but) == 1 || a.cold(e) == 1)
 	})
 }
 
@@ -811,8 +805,9 @@
 		t.used = users != nil
 		for _, e := range a.listed {
 			want, told := a.want(t, e), e.told[t.id]
-			later := room == hardWaiting && told != 0 && (want == 0 || want > told)
-			later = later || e.sick && told > 0 || want == 0 && !e.out && users != nil
+			gone := want == 0 && !e.usable()
+			later := room == hardWaiting && told != 0 && (gone || want > told)
+			later = later || e.sick && told > 0 || gone && !e.out && users != nil
 			if want == told || later || !wanted && users == nil {
 				continue
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -236,6 +236,8 @@
 		switch key {
 		case "waiting":
 			w.facts.MostWaiting = v
+		case "avoid":
+			w.facts.OutlierAfter = int(v)
 		case "slices":
 			w.facts.Slices = int(v)
 		case "cap":
