--- a/policy/policy.go
+++ b/policy/policy.go
@@ -99,10 +99,9 @@
 
 // table is one shared table; the commons spans all cells.
 type table struct {
-	id      control.TableID
-	cell    *cell         // nil: the commons
-	used    bool          // by a joined proxy
-	movedAt time.Duration // onto it or off it
+	id   control.TableID
+	cell *cell // nil: the commons
+	used bool  // by a joined proxy
 }
 
 // opType is what the module reads of one op type.
@@ -134,26 +133,26 @@
 
 // Assigner is one instance; its first event is its start.
 type Assigner struct {
-	facts                  control.Facts
-	now, window            time.Duration // window: what sums span
-	carry                  uint64        // of the generator
-	endpoints              map[control.EndpointID]*endpoint
-	listed                 []*endpoint // by id
-	joined, known          []*proxy    // joined, by id; joined and away
-	ops                    []opType
-	areas                  int // zones, or pairs of them: each has cells of its own
-	cells                  []*cell
-	tables                 []*table // the cells' and, last, the commons
-	orders                 []control.Order
-	number                 int     // of the last checkpoint
-	held                   bool    // an order waits for room in the channel
-	waiting, target        float64 // lines not confirmed; mean target latency in seconds
-	demand, power, load    float64 // of known proxies, of usable servers, mean percent
-	each, offered          float64 // work a unit of power does; work that comes, repeats aside
-	met                    tally   // over usable servers
-	failing                float64 // where the cell does best
-	admitted, lagged, trim float64 // shares of the work: let in, let in a lag ago, left by distress
-	trimAt, wroteAt        time.Duration
+	facts                   control.Facts
+	now, window             time.Duration // window: what sums span
+	carry                   uint64        // of the generator
+	endpoints               map[control.EndpointID]*endpoint
+	listed                  []*endpoint // by id
+	joined, known           []*proxy    // joined, by id; joined and away
+	ops                     []opType
+	areas                   int // zones, or pairs of them: each has cells of its own
+	cells                   []*cell
+	tables                  []*table // the cells' and, last, the commons
+	orders                  []control.Order
+	number                  int     // of the last checkpoint
+	held                    bool    // an order waits for room in the channel
+	waiting, target         float64 // lines not confirmed; mean target latency in seconds
+	demand, power, load     float64 // of known proxies, of usable servers, mean percent
+	each, offered           float64 // work a unit of power does; work that comes, repeats aside
+	met                     tally   // over usable servers
+	failing                 float64 // where the cell does best
+	admitted, lagged, trim  float64 // shares of the work: let in, let in a lag ago, left by distress
+	moveAt, trimAt, wroteAt time.Duration
 }
 
 // Decide takes what happened at one moment and returns what is to be done.
@@ -610,30 +609,28 @@
 	slices.SortStableFunc(p.ranked, func(x, y *cell) int { return cmp.Compare(key(x), key(y)) })
 }
 
-// move shifts one proxy at a time between tables that have both reported afresh since their last: out of the
-// highest cell, if it scores over 70 or holds or carries too much, to the lowest if that stays under 60, else to
-// the commons; or back home where there is room. The lightest goes that brings the cell under; else the heaviest.
+// move shifts one proxy, no sooner than the last move shows: out of the highest cell, if it scores over 70
+// or holds or carries too much, to the lowest if that stays under 60, else to the commons; or back home
+// where there is room. The lightest proxy goes that brings the cell under; failing one, the heaviest.
 func (a *Assigner) move() {
-	room := a.roomy()
+	live := slices.DeleteFunc(slices.Clone(a.cells), func(c *cell) bool { return !c.live })
+	if len(a.cells) < 2 || len(live) < 1 || a.now-a.moveAt < a.lag() {
+		return
+	}
+	score := func(x, y *cell) int { return cmp.Compare(x.score, y.score) }
+	high, low, room := slices.MaxFunc(live, score), slices.MinFunc(live, score), a.roomy()
 	for _, p := range a.joined {
-		if home := p.ranked; !p.placed || len(home) < 2 || p.cell == home[0] || !home[0].live {
+		if !p.placed || p.cell == p.ranked[0] || p.ranked[0].load >= calm {
 			continue
-		} else if a.now-home[0].since >= settledLags*a.lag() && home[0].load < calm &&
-			a.fill(home[0], p.demand) <= room-slack {
-			a.shift(p, home[0])
 		}
-	}
-	var live []*cell
-	for _, c := range a.cells {
-		if c.live && a.rested(c.table) {
-			live = append(live, c)
+		home := p.ranked[0]
+		if home.live && a.now-home.since >= settledLags*a.lag() && a.fill(home, p.demand) <= room-slack {
+			p.cell, a.moveAt = home, a.now
+			return
 		}
 	}
-	slices.SortStableFunc(live, func(x, y *cell) int { return cmp.Compare(y.score, x.score) })
-	for at, high := range live {
-		if high.score <= over && a.fill(high, 0) <= room+slack && high.load <= max(busy, a.load+slack) {
-			continue
-		}
+	tight := func(c *cell) bool { return a.fill(c, 0) > room+slack || c.load > max(busy, a.load+slack) }
+	if high.score > over || tight(high) {
 		var leaver *proxy
 		enough := func(p *proxy) bool { return a.fill(high, -p.demand) <= room-slack }
 		for _, p := range a.joined {
@@ -645,31 +642,15 @@
 				leaver = p
 			}
 		}
-		if leaver == nil || len(a.cells) < 2 {
-			continue
-		}
-		low := live[len(live)-1-at]
-		if low != high && ((low.load+a.fill(low, leaver.demand))/2 < fits || !a.spread(leaver)) {
-			a.shift(leaver, low)
-		} else {
-			a.shift(leaver, nil)
+		if leaver != nil {
+			leaver.cell, a.moveAt = nil, a.now
+			if low != high && ((low.load+a.fill(low, leaver.demand))/2 < fits || !a.spread(leaver)) {
+				leaver.cell = low
+			}
 		}
 	}
 }
 
-func (a *Assigner) rested(t *table) bool { return a.now-t.movedAt >= a.lag() }
-
-// shift moves a proxy between tables that have rested; both then rest until the sums show it.
-func (a *Assigner) shift(p *proxy, to *cell) {
-	from, onto := a.home(p), a.tables[len(a.tables)-1]
-	if to != nil {
-		onto = to.table
-	}
-	if a.rested(from) && a.rested(onto) {
-		p.cell, from.movedAt, onto.movedAt = to, a.now, a.now
-	}
-}
-
 // admit sets the share of the work that is let in: what the servers can do over what is offered, both
 // learned while all is well and held in distress, when sums are late and repeats swell them. Lasting
 // distress trims the share, a step a lag; many failing tries cut it deep, for only that clears a jam.
