--- a/policy/policy.go
+++ b/policy/policy.go
@@ -530,26 +530,8 @@
 			}
 		}
 	}
-	// Proxies that are not ours, or yet to join, count as ours do, where they lack by the areas' power.
-	lack, total := make([]float64, a.areas), 0.0
-	for _, c := range a.cells {
-		lack[c.area] += float64(a.facts.Proxies) * c.power / max(a.power, tiny)
-	}
-	for _, p := range a.known {
-		lack[p.zone%a.areas]--
-	}
-	for _, n := range lack {
-		total += max(0, n)
-	}
-	unseen := a.demand * max(0, float64(a.facts.Proxies)/max(1, float64(len(a.known)))-1)
-	strength := slices.Repeat([]float64{tiny}, a.areas)
-	for _, c := range a.cells {
-		strength[c.area] += c.power
-	}
-	for _, c := range a.cells {
-		c.demand += unseen * max(0, lack[c.area]) / max(total, tiny) * c.power / strength[c.area]
-	}
-	a.demand += unseen
+	missing := float64(a.facts.Proxies)/max(1, float64(a.facts.Instances)) - float64(len(a.known))
+	a.demand *= 1 + max(0, missing)/max(1, float64(len(a.known))) // those yet to join count as the others do
 	for _, c := range a.cells {
 		if c.load, c.ease = c.load/max(1, c.heard), c.ease/max(1, c.heard); c.heard == 0 {
 			c.load = a.load
