--- a/policy/policy.go
+++ b/policy/policy.go
@@ -466,7 +466,7 @@
 			continue
 		}
 		share, rest := e.fails, min(a.failing, (a.met.fails-e.fails)/max(1, a.met.servers-1))
-		if share > rest+sickMargin && (e.load < min(busy, a.load+slack) && e.queue < queues && a.cold(e) == 1 || share > lost && e.load < full) &&
+		if share > rest+sickMargin && (e.load < min(busy, a.load) && e.queue < queues && a.cold(e) == 1 || share > lost && e.load < full) &&
 			(e.cell.sick < int(outShare*float64(e.cell.ready)) || share > lost && a.stands(e.cell)) {
 			e.sickFor = time.Duration((1 + a.chance()) * float64(a.lag()<<min(e.spells, settledLags)))
 			e.sick, e.turnAt, e.spells = true, a.now, e.spells+1
