--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,13 +25,12 @@
 
 // Where load stands, in percent. Queues for a few cores grow long past 80 and answers stop coming near 100.
 const (
-	idle   = 45.0 // under this a load says little of what a server can do
-	calm   = 72.0 // proxies go home, levels rise, servers regain weight
-	busy   = 80.0 // distress: levels fall
-	full   = 88.0 // the load that cells are filled to, and past which failing is no sign of sickness
-	queues = 4.0  // ops that wait at a server, where it is told: it is busy, not sick
-	slack  = 8.0  // between doing a thing and undoing it
-	apart  = 20.0 // from the mean: a server that lags
+	idle  = 45.0 // under this a load says little of what a server can do
+	calm  = 72.0 // proxies go home, levels rise, servers regain weight
+	busy  = 80.0 // distress: levels fall
+	full  = 88.0 // the load that cells are filled to, and past which failing is no sign of sickness
+	slack = 8.0  // between doing a thing and undoing it
+	apart = 20.0 // from the mean: a server that lags
 )
 
 // Waits, in lags of the sums (see lag); shares and ratios.
@@ -75,7 +74,6 @@
 	mode            control.Mode
 	told            []float64 // weight last sent, by table
 	tries, fails    float64   // that proxies met here, fading; the share that failed lately
-	queue           float64   // ops that wait there, as reported
 	load, ease      float64   // percent, below 0 unheard; share of its weight left to a server that lags
 	out, sick       bool      // withdrawn, as last sent; found sick
 	spells          int       // times it was found sick
@@ -374,9 +372,6 @@
 	if failed < tries {
 		e.cell.answeredAt = a.now
 	}
-	if i := slices.Index(a.facts.Measures, control.Queue); i >= 0 && i < len(d.Load) {
-		e.queue += tries / (tries + steady) * (max(d.Load[i], 0) - e.queue)
-	}
 	if load := a.percent(d); load >= 0 && e.load < 0 {
 		e.load = load
 	} else if load >= 0 {
@@ -466,7 +461,7 @@
 			continue
 		}
 		share, rest := e.fails, min(a.failing, (a.met.fails-e.fails)/max(1, a.met.servers-1))
-		if share > rest+sickMargin && (e.load < min(busy, a.load) && e.queue < queues && a.cold(e) == 1 || share > lost && e.load < full) &&
+		if share > rest+sickMargin && (e.load < min(busy, a.load) && a.cold(e) == 1 || share > lost && e.load < full) &&
 			(e.cell.sick < int(outShare*float64(e.cell.ready)) || share > lost && a.stands(e.cell)) {
 			e.sickFor = time.Duration((1 + a.chance()) * float64(a.lag()<<min(e.spells, settledLags)))
 			e.sick, e.turnAt, e.spells = true, a.now, e.spells+1
