What fails on calm servers is no jam: no cut for it

Guards against cutting for lost answers, slow links and other failing that load does not cause; may come late where load is read too low.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -654,6 +654,9 @@
 	if a.load >= calm { // else one hot cell is for the moves to cool
 		failing = all
 	}
+	if a.load < fits { // what fails on calm servers is no jam
+		failing = 0
+	}
 	distress := a.load >= busy || failing > failsMuch
 	k := min(1, a.facts.ReportEvery.Seconds()/a.lag().Seconds())
 	a.lagged += k * (a.admitted - a.lagged)
