--- a/policy/policy.go
+++ b/policy/policy.go
@@ -93,19 +93,20 @@
 	met                                     tally // over its servers
 	since, answeredAt                       time.Duration
 	demand, power, load, score, ease, heard float64
+	cut                                     float64 // of what the fleet lets in, while this cell alone is jammed
 }
 
 // table is one shared table; the commons spans all cells.
 type table struct {
-	id   control.TableID
-	cell *cell // nil: the commons
-	used bool  // by a joined proxy
+	id     control.TableID
+	cell   *cell     // nil: the commons
+	used   bool      // by a joined proxy
+	levels []float64 // as last sent, by op type; below 0: not yet
 }
 
 // opType is what the module reads of one op type.
 type opType struct {
 	cost, density float64 // of work, as far as its target latency tells; revenue for it
-	level         float64 // as last sent; below 0: not yet
 }
 
 // proxy is one that has joined, or is away with the tables it holds.
@@ -219,7 +220,7 @@
 	f.ReportEvery = max(f.ReportEvery, f.Tick, 100*time.Millisecond)
 	for _, t := range f.OpTypes {
 		cost := max(t.TargetLatency, time.Millisecond).Seconds()
-		a.ops = append(a.ops, opType{cost: cost, density: t.Revenue / cost, level: -1})
+		a.ops = append(a.ops, opType{cost: cost, density: t.Revenue / cost})
 		a.target += cost / float64(len(f.OpTypes))
 	}
 	a.areas = max(1, f.Zones)
@@ -243,16 +244,23 @@
 		proxies := float64(a.facts.Proxies) * n / max(1, float64(len(a.listed)))
 		most := min(n/(roomCell*float64(max(1, a.facts.Bootstrap))), proxies/crowd)
 		for range max(1, int(most)) {
-			t := &table{id: control.TableID(len(a.tables))}
-			t.cell = &cell{table: t, area: area, live: true, since: control.LongAgo, answeredAt: a.now}
-			a.cells, a.tables = append(a.cells, t.cell), append(a.tables, t)
+			c := &cell{area: area, live: true, since: control.LongAgo, answeredAt: a.now, cut: 1}
+			c.table = a.lay(c)
+			a.cells = append(a.cells, c)
 		}
 	}
 	if len(a.cells) > 1 {
-		a.tables = append(a.tables, &table{id: control.TableID(len(a.tables))})
+		a.lay(nil)
 	}
 }
 
+func (a *Assigner) lay(c *cell) *table {
+	t := &table{id: control.TableID(len(a.tables)), cell: c}
+	t.levels = slices.Repeat([]float64{-1}, len(a.ops))
+	a.tables = append(a.tables, t)
+	return t
+}
+
 // enter gives new servers, by id, to the cells of their area that have least.
 func (a *Assigner) enter() {
 	slices.SortFunc(a.listed, func(x, y *endpoint) int { return cmp.Compare(x.id, y.id) })
@@ -685,11 +693,28 @@
 		goal *= (1 - failing) * (1 - failing)
 	}
 	a.admitted = max(leastLevel, min(goal, a.admitted+regain*k))
+	for _, c := range a.cells { // a jam in one cell, while the fleet is well: its middle server fails
+		var shares []float64
+		for _, e := range a.listed {
+			if e.cell == c && e.usable() && e.tries >= leastTries {
+				shares = append(shares, e.fails)
+			}
+		}
+		slices.Sort(shares)
+		if n := len(shares); n > 0 && shares[n/2] > sickMargin && c.load >= calm && !distress {
+			c.cut = min(c.cut, (1-shares[n/2])*(1-shares[n/2]))
+		} else {
+			c.cut = min(1, c.cut+regain*k)
+		}
+	}
 }
 
 // level says how much of an op type is let in: what the admitted share leaves after those that earn more.
-func (a *Assigner) level(i int) float64 {
-	total, before, own := 0.0, 0.0, 0.0
+func (a *Assigner) level(t *table, i int) float64 {
+	total, before, own, admitted := 0.0, 0.0, 0.0, a.admitted
+	if t.cell != nil {
+		admitted *= t.cell.cut
+	}
 	for _, p := range a.joined {
 		for j, r := range p.rates {
 			total += r
@@ -703,7 +728,7 @@
 	if a.facts.Levels != control.LevelShare || own <= 0 {
 		return 1
 	}
-	share := (a.admitted*total - before) / own
+	share := (admitted*total - before) / own
 	return math.Round(50*min(1, max(leastLevel, share))) / 50
 }
 
@@ -825,7 +850,7 @@
 		if !p.placed || p.table == t || later || !a.serves(t, nil) {
 			continue
 		}
-		lines := 1.0
+		lines := 1 + float64(len(a.ops))
 		for _, e := range a.listed {
 			if e.told[t.id] > 0 && e.out {
 				lines += 2 // its withdrawal is sent along
@@ -842,18 +867,20 @@
 
 // levels sends how much is let in; trying again only what surely never ran is safe for every op type.
 func (a *Assigner) levels() {
-	for i := range a.ops {
-		op, level := &a.ops[i], a.level(i)
-		if level != op.level && a.charge(softWaiting, 1, a.joined...) {
-			op.level = level
-			a.do(control.SetLevel{Table: control.Everywhere, OpTypes: 1 << i, Level: level, Again: control.IfUnrun})
+	for _, t := range a.tables {
+		users := slices.DeleteFunc(slices.Clone(a.joined), func(p *proxy) bool { return p.table != t })
+		for i := range a.ops {
+			if level := a.level(t, i); level != t.levels[i] && a.charge(softWaiting, 1, users...) {
+				t.levels[i] = level
+				a.do(control.SetLevel{Table: t.id, OpTypes: 1 << i, Level: level, Again: control.IfUnrun})
+			}
 		}
 	}
 }
 
 // charge books lines if the channel has room: a message's own, its checkpoint's and the levels' come first.
 func (a *Assigner) charge(room, lines float64, to ...*proxy) bool {
-	head := a.facts.MessageLines + 1 + float64(len(a.ops))
+	head := a.facts.MessageLines + 1
 	need := 0.0
 	for _, p := range to {
 		if need += lines; p.lines == 0 {
