--- a/policy/policy.go
+++ b/policy/policy.go
@@ -693,16 +693,9 @@
 		goal *= (1 - failing) * (1 - failing)
 	}
 	a.admitted = max(leastLevel, min(goal, a.admitted+regain*k))
-	for _, c := range a.cells { // a jam in one cell, while the fleet is well: its middle server fails
-		var shares []float64
-		for _, e := range a.listed {
-			if e.cell == c && e.usable() && e.tries >= leastTries {
-				shares = append(shares, e.fails)
-			}
-		}
-		slices.Sort(shares)
-		if n := len(shares); n > 0 && shares[n/2] > sickMargin && c.load >= calm && !distress {
-			c.cut = min(c.cut, (1-shares[n/2])*(1-shares[n/2]))
+	for _, c := range a.cells { // a jam in one cell, while the fleet is well
+		if own := c.met.fails / max(1, c.met.servers); own > sickMargin && c.load >= calm && !distress {
+			c.cut = min(c.cut, (1-own)*(1-own))
 		} else {
 			c.cut = min(1, c.cut+regain*k)
 		}
