--- a/policy/policy.go
+++ b/policy/policy.go
@@ -86,14 +86,14 @@
 
 // cell is a group of servers of one area that share a table.
 type cell struct {
-	table                                   *table
-	area                                    int
-	servers, ready, sick                    int
-	live, jammed                            bool
-	met                                     tally // over its servers
-	since, answeredAt                       time.Duration
-	demand, power, load, score, ease, heard float64
-	cut                                     float64 // of what the fleet lets in, while this cell alone is jammed
+	table                             *table
+	area                              int
+	servers, ready, sick              int
+	live, jammed                      bool
+	met                               tally // over its servers
+	since, answeredAt                 time.Duration
+	demand, power, load, score, heard float64
+	cut                               float64 // of what the fleet lets in, while this cell alone is jammed
 }
 
 // table is one shared table; the commons spans all cells.
@@ -283,11 +283,11 @@
 			}
 		}
 		weight[e.cell.table.id] += e.weight
-		e.told, e.ease = make([]float64, len(a.tables)), cmp.Or(e.cell.ease, 1)
+		e.told = make([]float64, len(a.tables))
 	}
 }
 
-// listing brings the records up to date. A started server gets its quarter of what its cell was eased to.
+// listing brings the records up to date.
 func (a *Assigner) listing(l control.Listing) {
 	if l.Kind == control.Failed && a.facts.AskForList {
 		a.do(control.WatchList{On: true})
@@ -301,7 +301,7 @@
 		e := a.endpoints[n.Endpoint]
 		fresh := e == nil
 		if fresh {
-			e = &endpoint{id: n.Endpoint, started: control.LongAgo, area: n.Zone % a.areas, ease: 1}
+			e = &endpoint{id: n.Endpoint, started: control.LongAgo, area: n.Zone % a.areas}
 			a.endpoints[e.id] = e
 			a.listed = append(a.listed, e)
 		}
@@ -311,10 +311,7 @@
 		}
 		if fresh || n.Started > e.started {
 			e.started, e.turnAt, e.eased = n.Started, control.LongAgo, control.LongAgo
-			e.tries, e.fails, e.load, e.sick, e.spells = 0, 0, -1, false, 0
-			if e.cell != nil {
-				e.ease = cmp.Or(e.cell.ease, 1)
-			}
+			e.tries, e.fails, e.load, e.ease, e.sick, e.spells = 0, 0, -1, 1, false, 0
 		}
 	}
 	a.enter()
@@ -505,7 +502,7 @@
 	a.power, a.demand, a.load = 0, 0, 0
 	heard := 0.0
 	for _, c := range a.cells {
-		c.servers, c.power, c.demand, c.load, c.ease, c.heard = 0, 0, 0, 0, 0, 0
+		c.servers, c.power, c.demand, c.load, c.heard = 0, 0, 0, 0, 0
 	}
 	for _, e := range a.listed {
 		c := e.cell
@@ -516,7 +513,7 @@
 			c.power, a.power = c.power+a.can(e), a.power+a.can(e)
 		}
 		if e.usable() && e.load >= 0 {
-			c.load, c.ease, c.heard = c.load+e.load, c.ease+e.ease, c.heard+1
+			c.load, c.heard = c.load+e.load, c.heard+1
 			a.load, heard = a.load+e.load, heard+1
 		}
 	}
@@ -536,7 +533,7 @@
 	missing := float64(a.facts.Proxies)/max(1, float64(a.facts.Instances)) - float64(len(a.known))
 	a.demand *= 1 + max(0, missing)/max(1, float64(len(a.known))) // those yet to join count as the others do
 	for _, c := range a.cells {
-		if c.load, c.ease = c.load/max(1, c.heard), c.ease/max(1, c.heard); c.heard == 0 {
+		if c.load /= max(1, c.heard); c.heard == 0 {
 			c.load = a.load
 		}
 		quiet, wait := a.now-max(c.answeredAt, c.since), max(silence, settledLags*a.lag())
@@ -735,7 +732,7 @@
 // want is the weight that a table should give a server. A cold one is kept out while its cell is jammed: where
 // proxies avoid what fails them, one server that still answers gets their whole burst.
 func (a *Assigner) want(t *table, e *endpoint) float64 {
-	early := a.cold(e) < 1 && (e.cell.jammed || e.told[t.id] == 0 && e.cell.load >= busy) && a.serves(t, e)
+	early := a.cold(e) < 1 && e.cell.jammed && a.serves(t, e)
 	if e.mode == control.Ready && (t.cell == nil || t.cell == e.cell) && !early {
 		return e.weight * a.fit(e)
 	}
