--- a/policy/policy.go
+++ b/policy/policy.go
@@ -100,7 +100,6 @@
 type table struct {
 	id     control.TableID
 	cell   *cell     // nil: the commons
-	used   bool      // by a joined proxy
 	levels []float64 // as last sent, by op type; below 0: not yet
 }
 
@@ -120,14 +119,8 @@
 	table        *table    // as last sent; nil: its standing table
 	placed, away bool
 	leftAt       time.Duration
-	lines        float64 // of the message that this turn writes to it
-	pending      []message
-}
-
-// message is one that its proxy has not confirmed.
-type message struct {
-	number int
-	lines  float64
+	lines, sent  float64 // of the message that this turn writes to it; of those not confirmed
+	last         int     // number of the newest
 }
 
 // Assigner is one instance; its first event is its start.
@@ -136,8 +129,9 @@
 	now, window             time.Duration // window: what sums span
 	carry                   uint64        // of the generator
 	endpoints               map[control.EndpointID]*endpoint
-	listed                  []*endpoint // by id
-	joined, known           []*proxy    // joined, by id; joined and away
+	proxies                 map[control.ProxyID]*proxy // joined
+	listed                  []*endpoint                // by id
+	joined, known           []*proxy                   // joined, by id; joined and away
 	ops                     []opType
 	areas                   int // zones, or pairs of them: each has cells of its own
 	cells                   []*cell
@@ -215,7 +209,8 @@
 
 func (a *Assigner) start(s control.Start) {
 	*a = Assigner{facts: s.Facts, now: a.now, carry: s.Seed>>1 | 1, admitted: 1, lagged: 1, trim: 1,
-		wroteAt: control.LongAgo, endpoints: map[control.EndpointID]*endpoint{}}
+		wroteAt: control.LongAgo, endpoints: map[control.EndpointID]*endpoint{},
+		proxies: map[control.ProxyID]*proxy{}}
 	f := &a.facts
 	f.ReportEvery = max(f.ReportEvery, f.Tick, 100*time.Millisecond)
 	for _, t := range f.OpTypes {
@@ -267,22 +262,16 @@
 	if a.cells == nil {
 		a.group()
 	}
-	weight := make([]float64, len(a.tables))
-	for _, e := range a.listed {
-		if e.cell != nil && e.mode != control.Gone {
-			weight[e.cell.table.id] += e.weight
-		}
-	}
 	for _, e := range a.listed {
 		if e.cell != nil {
 			continue
 		}
 		for _, c := range a.cells {
-			if c.area == e.area && (e.cell == nil || weight[c.table.id] < weight[e.cell.table.id]) {
+			if c.area == e.area && (e.cell == nil || c.servers < e.cell.servers) {
 				e.cell = c
 			}
 		}
-		weight[e.cell.table.id] += e.weight
+		e.cell.servers++
 		e.told = make([]float64, len(a.tables))
 	}
 }
@@ -325,40 +314,25 @@
 		p.demand += p.rates[len(p.rates)-1]
 	}
 	a.known = append(slices.DeleteFunc(a.known, func(x *proxy) bool { return x.id == p.id }), p)
-	a.joined = append(a.joined, p)
+	a.joined, a.proxies[p.id] = append(a.joined, p), p
 	slices.SortFunc(a.joined, func(x, y *proxy) int { return cmp.Compare(x.id, y.id) })
 }
 
-// proxy finds a joined proxy.
-func (a *Assigner) proxy(id control.ProxyID) *proxy {
-	if at := slices.IndexFunc(a.joined, func(p *proxy) bool { return p.id == id }); at >= 0 {
-		return a.joined[at]
-	}
-	return nil
-}
-
 // leave keeps a proxy among the known: cut off, it goes on with the tables it holds.
 func (a *Assigner) leave(id control.ProxyID) {
-	if p := a.proxy(id); p != nil {
-		a.settle(p, len(p.pending))
+	if p := a.proxies[id]; p != nil {
+		a.waiting -= p.sent
 		p.away, p.leftAt = true, a.now
 		a.joined = slices.DeleteFunc(a.joined, func(x *proxy) bool { return x == p })
+		delete(a.proxies, id)
 	}
 }
 
-// confirm frees a message's lines and all before; what is not confirmed waits, however slow the channel is.
+// confirm frees a proxy's lines once its newest message is in force; till then all wait, however slow the channel.
 func (a *Assigner) confirm(in control.InForce) {
-	if p := a.proxy(in.Proxy); p != nil {
-		a.settle(p, 1+slices.IndexFunc(p.pending, func(m message) bool { return m.number == in.Checkpoint }))
-	}
-}
-
-// settle frees the lines of a proxy's first n messages.
-func (a *Assigner) settle(p *proxy, n int) {
-	for _, m := range p.pending[:n] {
-		a.waiting -= m.lines
+	if p := a.proxies[in.Proxy]; p != nil && p.last == in.Checkpoint {
+		a.waiting, p.sent = a.waiting-p.sent, 0
 	}
-	p.pending = p.pending[n:]
 }
 
 // lag is how long a change takes to show in the sums.
@@ -396,7 +370,7 @@
 }
 
 func (a *Assigner) arrivals(u control.Arrivals) {
-	p := a.proxy(u.Proxy)
+	p := a.proxies[u.Proxy]
 	if p == nil || u.OpType < 0 || u.OpType >= len(a.ops) || u.Window <= 0 {
 		return
 	}
@@ -457,9 +431,10 @@
 	}
 	a.failing = 1
 	for _, c := range a.cells {
-		failing := c.met.fails / max(1, c.met.servers)
+		failing := c.met.mean()
 		a.failing = min(a.failing, failing)
-		c.jammed = a.facts.OutlierAfter > 0 && (c.heard == 0 || c.load >= busy || failing > sickMargin)
+		c.jammed = a.facts.OutlierAfter > 0 &&
+			(c.heard == 0 || c.load >= busy || max(failing, a.met.mean()) > sickMargin)
 	}
 	for _, e := range a.listed {
 		if !e.usable() || e.tries < leastTries {
@@ -476,6 +451,7 @@
 }
 
 func (t *tally) add(share float64) { t.servers, t.fails = t.servers+1, t.fails+share }
+func (t tally) mean() float64      { return t.fails / max(1, t.servers) }
 
 // stands tells whether another cell lives with most of its servers in.
 func (a *Assigner) stands(but *cell) bool {
@@ -629,25 +605,19 @@
 			return
 		}
 	}
-	tight := func(c *cell) bool { return a.fill(c, 0) > room+slack || c.load > max(busy, a.load+slack) }
-	if high.score > over || tight(high) {
-		var leaver *proxy
-		enough := func(p *proxy) bool { return a.fill(high, -p.demand) <= room-slack }
-		for _, p := range a.joined {
-			if p.cell != high {
-				continue
-			}
-			if leaver == nil || enough(p) && (!enough(leaver) || p.demand < leaver.demand) ||
-				!enough(leaver) && p.demand > leaver.demand {
-				leaver = p
-			}
-		}
-		if leaver != nil {
-			leaver.cell, a.moveAt = nil, a.now
-			if low != high && ((low.load+a.fill(low, leaver.demand))/2 < fits || !a.spread(leaver)) {
-				leaver.cell = low
-			}
-		}
+	tight := a.fill(high, 0) > room+slack || high.load > max(busy, a.load+slack)
+	own := slices.DeleteFunc(slices.Clone(a.joined), func(p *proxy) bool { return p.cell != high })
+	if high.score <= over && !tight || len(own) == 0 {
+		return
+	}
+	slices.SortStableFunc(own, func(x, y *proxy) int { return cmp.Compare(x.demand, y.demand) })
+	at := slices.IndexFunc(own, func(p *proxy) bool { return a.fill(high, -p.demand) <= room-slack })
+	if at < 0 {
+		at = len(own) - 1
+	}
+	own[at].cell, a.moveAt = nil, a.now
+	if low != high && ((low.load+a.fill(low, own[at].demand))/2 < fits || !a.spread(own[at])) {
+		own[at].cell = low
 	}
 }
 
@@ -655,7 +625,7 @@
 // learned while all is well and held in distress, when sums are late and repeats swell them. Lasting
 // distress trims the share, a step a lag; many failing tries cut it deep, for only that clears a jam.
 func (a *Assigner) admit() {
-	failing, all := a.failing, a.met.fails/max(1, a.met.servers)
+	failing, all := a.failing, a.met.mean()
 	if a.load >= calm { // else one hot cell is for the moves to cool
 		failing = all
 	}
@@ -691,7 +661,7 @@
 	}
 	a.admitted = max(leastLevel, min(goal, a.admitted+regain*k))
 	for _, c := range a.cells { // a jam in one cell, while the fleet is well
-		if own := c.met.fails / max(1, c.met.servers); own > sickMargin && c.load >= calm && !distress {
+		if own := c.met.mean(); own > sickMargin && c.load >= calm && !distress {
 			c.cut = min(c.cut, (1-own)*(1-own))
 		} else {
 			c.cut = min(1, c.cut+regain*k)
@@ -722,13 +692,6 @@
 	return math.Round(50*min(1, max(leastLevel, share))) / 50
 }
 
-func (a *Assigner) home(p *proxy) *table {
-	if p.cell == nil {
-		return a.tables[len(a.tables)-1]
-	}
-	return p.cell.table
-}
-
 // want is the weight that a table should give a server. A cold one is kept out while its cell is jammed: where
 // proxies avoid what fails them, one server that still answers gets their whole burst.
 func (a *Assigner) want(t *table, e *endpoint) float64 {
@@ -752,12 +715,6 @@
 		a.putLines(softWaiting)
 	}
 	a.withdraw()
-	for _, e := range a.listed {
-		if e.out && e.usable() && a.charge(softWaiting, 1, a.holders(e)...) {
-			e.out = false
-			a.do(control.Suspend{Endpoint: e.id})
-		}
-	}
 	if !slices.ContainsFunc(a.joined, func(p *proxy) bool { return p.lines > 0 }) {
 		return
 	}
@@ -765,11 +722,21 @@
 	a.do(control.Checkpoint{Number: a.number})
 	for _, p := range a.joined {
 		if p.lines > 0 {
-			p.pending, p.lines = append(p.pending, message{a.number, p.lines}), 0
+			p.sent, p.lines, p.last = p.sent+p.lines, 0, a.number
 		}
 	}
 }
 
+// users are the joined proxies on a table; on none: on their standing ones.
+func (a *Assigner) users(t *table) (on []*proxy) {
+	for _, p := range a.joined {
+		if p.table == t {
+			on = append(on, p)
+		}
+	}
+	return on
+}
+
 // serves tells whether a table, as sent, has a line to pick besides one server's.
 func (a *Assigner) serves(t *table, but *endpoint) bool {
 	return slices.ContainsFunc(a.listed, func(e *endpoint) bool {
@@ -777,54 +744,41 @@
 	})
 }
 
-// holders are the proxies whose tables may name a server: they alone are sent its withdrawal.
-func (a *Assigner) holders(e *endpoint) (hold []*proxy) {
-	for _, p := range a.joined {
-		if p.table == nil || e.told[p.table.id] > 0 {
-			hold = append(hold, p)
-		}
-	}
-	return hold
-}
-
-// withdraw shuts out what is not to be sent to; a sick one stays where a proxy would be left bare.
+// withdraw shuts out what is not to be sent to, and lets it in again; a sick one stays where a table would be bare.
+// Only the proxies whose tables may name a server are sent it.
 func (a *Assigner) withdraw() {
 	for _, e := range a.listed {
-		if e.out || e.usable() {
+		if e.out != e.usable() {
 			continue
 		}
-		holders := a.holders(e)
-		bare := e.mode == control.Ready && slices.ContainsFunc(a.tables, func(t *table) bool {
-			return t.used && e.told[t.id] > 0 && !a.serves(t, e)
-		})
-		if !bare && a.charge(hardWaiting, 1, holders...) {
-			e.out = true
-			a.do(control.Suspend{Endpoint: e.id, Out: true})
+		holders, bare, room := a.users(nil), false, softWaiting
+		for _, t := range a.tables {
+			if users := a.users(t); e.told[t.id] > 0 && users != nil {
+				holders = append(holders, users...)
+				bare = bare || !e.out && e.mode == control.Ready && !a.serves(t, e)
+			}
+		}
+		if !e.out {
+			room = hardWaiting
+		}
+		if !bare && a.charge(room, 1, holders...) {
+			e.out = !e.out
+			a.do(control.Suspend{Endpoint: e.id, Out: e.out})
 		}
 	}
 }
 
-// putLines brings the lines of wanted tables up to date, new lines and falling weights at once. A line goes
+// putLines brings the lines of tables up to date, new lines and falling weights at once. A line goes
 // only once its server is withdrawn, so that no table runs empty on the way.
 func (a *Assigner) putLines(room float64) {
 	for _, t := range a.tables {
-		var users []*proxy
-		wanted := false
-		for _, p := range a.joined {
-			if wanted = wanted || p.placed && a.home(p) == t; p.table == t {
-				users = append(users, p)
-			}
-		}
-		t.used = users != nil
+		users := a.users(t)
 		for _, e := range a.listed {
 			want, told := a.want(t, e), e.told[t.id]
 			gone := want == 0 && !e.usable()
 			later := room == hardWaiting && told != 0 && (gone || want > told)
 			later = later || e.sick && told > 0 || gone && !e.out && users != nil
-			if want == told || later || !wanted && users == nil {
-				continue
-			}
-			if a.charge(room, 1, users...) {
+			if want != told && !later && a.charge(room, 1, users...) {
 				e.told[t.id] = want
 				a.do(control.PutLine{Table: t.id, Endpoint: e.id, Weight: want})
 			}
@@ -835,7 +789,10 @@
 // bind puts proxies on the tables where they belong; those without a line to pick first.
 func (a *Assigner) bind(room float64) {
 	for _, p := range a.joined {
-		t := a.home(p)
+		t := a.tables[len(a.tables)-1]
+		if p.cell != nil {
+			t = p.cell.table
+		}
 		later := room == hardWaiting && p.table != nil && a.serves(p.table, nil)
 		if !p.placed || p.table == t || later || !a.serves(t, nil) {
 			continue
@@ -849,7 +806,7 @@
 			}
 		}
 		if a.charge(room, lines, p) {
-			p.table, t.used = t, true
+			p.table = t
 			a.do(control.Bind{Table: t.id, Proxy: p.id})
 		}
 	}
@@ -858,7 +815,7 @@
 // levels sends how much is let in; trying again only what surely never ran is safe for every op type.
 func (a *Assigner) levels() {
 	for _, t := range a.tables {
-		users := slices.DeleteFunc(slices.Clone(a.joined), func(p *proxy) bool { return p.table != t })
+		users := a.users(t)
 		for i := range a.ops {
 			if level := a.level(t, i); level != t.levels[i] && a.charge(softWaiting, 1, users...) {
 				t.levels[i] = level
