--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,6 @@
-// Package policy holds every decision of vetchdoor. Assigner.Decide is the only way in: it takes what
-// happened to one instance at one moment, its start included, and returns what is to be done. Events, orders
-// and the facts given at start are in package control; docs/design.md tells the design and when each
-// exception to it acts.
+// Package policy holds every decision of vetchdoor. Assigner.Decide is the only way in: it takes what happened
+// to one instance at one moment, its start included, and returns what is to be done. The interface is in
+// package control; docs/design.md tells the design and when each exception acts.
 package policy
 
 import (
@@ -19,7 +18,7 @@
 	fits    = 60.0            // a move keeps its target's score under this
 	even    = 50.0            // the fill of a cell that holds exactly its share
 	silence = 7 * time.Second // the guide's: a cell that answers nothing drops
-	entry   = 0.25            // of its weight: what a server that just started gets
+	entry   = 0.25            // of its weight: what a server that just started gets, and the least eased
 	entries = 4               // steps from there to all of it
 )
 
@@ -49,18 +48,17 @@
 	wholly      = 0.95    // let in: what comes is free of repeats
 	failsMuch   = 0.12    // of all tries failing: distress
 	leastTries  = 4       // before failing means anything
-	leastEase   = 0.25    // and easeStep the most that one easing leaves
-	easeStep    = 0.6
-	setpoint    = 0.85  // of what the servers can do is let in; and what one trim leaves
-	regain      = 0.3   // of all work, let in again in a lag
-	leastLevel  = 0.05  // of an op type, always let in
-	lopsided    = 10.0  // times the price of crossing: how far a cell may be filled past even
-	nearness    = 100.0 // a server of the own zone counts 1+(nearness*price)^2 times for home
-	tiny        = 1e-9  // stands for nothing where it divides
-	roomCell    = 2     // standing tables of servers, at least, in each of an area's cells
-	crowd       = 5     // proxies, at least, for each of them
-	fewLines    = 4     // standing tables: a commons of no more is for everybody
-	cheap       = 0.02  // a crossing under this price: zones are paired into cells
+	easeStep    = 0.6     // the most that one easing leaves
+	setpoint    = 0.85    // of what the servers can do is let in; and what one trim leaves
+	regain      = 0.3     // of all work, let in again in a lag
+	leastLevel  = 0.05    // of an op type, always let in
+	lopsided    = 10.0    // times the price of crossing: how far a cell may be filled past even
+	nearness    = 100.0   // a server of the own zone counts 1+(nearness*price)^2 times for home
+	tiny        = 1e-9    // stands for nothing where it divides
+	roomCell    = 2       // standing tables of servers, at least, in each of an area's cells
+	crowd       = 5       // proxies, at least, for each of them
+	fewLines    = 4       // standing tables: a commons of no more is for everybody
+	cheap       = 0.02    // a crossing under this price: zones are paired into cells
 )
 
 const beat uint32 = 1 // labels the only timer
@@ -93,19 +91,18 @@
 	met                               tally // over its servers
 	since, answeredAt                 time.Duration
 	demand, power, load, score, heard float64
-	cut                               float64 // of what the fleet lets in, while this cell alone is jammed
 }
 
 // table is one shared table; the commons spans all cells.
 type table struct {
-	id     control.TableID
-	cell   *cell     // nil: the commons
-	levels []float64 // as last sent, by op type; below 0: not yet
+	id   control.TableID
+	cell *cell // nil: the commons
 }
 
 // opType is what the module reads of one op type.
 type opType struct {
 	cost, density float64 // of work, as far as its target latency tells; revenue for it
+	level         float64 // as last sent; below 0: not yet
 }
 
 // proxy is one that has joined, or is away with the tables it holds.
@@ -215,7 +212,7 @@
 	f.ReportEvery = max(f.ReportEvery, f.Tick, 100*time.Millisecond)
 	for _, t := range f.OpTypes {
 		cost := max(t.TargetLatency, time.Millisecond).Seconds()
-		a.ops = append(a.ops, opType{cost: cost, density: t.Revenue / cost})
+		a.ops = append(a.ops, opType{cost: cost, density: t.Revenue / cost, level: -1})
 		a.target += cost / float64(len(f.OpTypes))
 	}
 	a.areas = max(1, f.Zones)
@@ -228,8 +225,7 @@
 	a.do(control.Wake{After: f.ReportEvery, Label: beat})
 }
 
-// group lays out the cells by the first list: an area has as many as leave each enough servers for its
-// proxies to spread over and enough proxies for their demands to even out.
+// group lays out each area's cells by the first list: as many as leave each enough servers and proxies.
 func (a *Assigner) group() {
 	servers := make([]float64, a.areas)
 	for _, e := range a.listed {
@@ -239,21 +235,12 @@
 		proxies := float64(a.facts.Proxies) * n / max(1, float64(len(a.listed)))
 		most := min(n/(roomCell*float64(max(1, a.facts.Bootstrap))), proxies/crowd)
 		for range max(1, int(most)) {
-			c := &cell{area: area, live: true, since: control.LongAgo, answeredAt: a.now, cut: 1}
-			c.table = a.lay(c)
-			a.cells = append(a.cells, c)
+			t := &table{id: control.TableID(len(a.tables))}
+			t.cell = &cell{table: t, area: area, live: true, since: control.LongAgo, answeredAt: a.now}
+			a.cells, a.tables = append(a.cells, t.cell), append(a.tables, t)
 		}
 	}
-	if len(a.cells) > 1 {
-		a.lay(nil)
-	}
-}
-
-func (a *Assigner) lay(c *cell) *table {
-	t := &table{id: control.TableID(len(a.tables)), cell: c}
-	t.levels = slices.Repeat([]float64{-1}, len(a.ops))
-	a.tables = append(a.tables, t)
-	return t
+	a.tables = append(a.tables, &table{id: control.TableID(len(a.tables))})
 }
 
 // enter gives new servers, by id, to the cells of their area that have least.
@@ -328,7 +315,7 @@
 	}
 }
 
-// confirm frees a proxy's lines once its newest message is in force; till then all wait, however slow the channel.
+// confirm frees a proxy's lines once its newest message is in force, however slow the channel is.
 func (a *Assigner) confirm(in control.InForce) {
 	if p := a.proxies[in.Proxy]; p != nil && p.last == in.Checkpoint {
 		a.waiting, p.sent = a.waiting-p.sent, 0
@@ -387,8 +374,7 @@
 	return min(1, max(0, (a.now-e.started).Seconds()/max(a.facts.ColdFor.Seconds(), tiny)))
 }
 
-// fit is the share of its listed weight that a server gets: a quarter from its start on, or from its return
-// after a sick spell, and then even steps up.
+// fit is the share of its listed weight that a server gets: a quarter at its start or return, then steps up.
 func (a *Assigner) fit(e *endpoint) float64 {
 	stepped := func(done float64) float64 {
 		return min(1, entry+(1-entry)*math.Floor(done*entries)/entries)
@@ -402,10 +388,9 @@
 	return e.weight * min(a.fit(e), e.ease*(a.facts.ColdShare+(1-a.facts.ColdShare)*a.cold(e)))
 }
 
-// health takes out servers that fail far more than the rest while not busy (hung, failing fast, cut off),
-// and lets them in again after a while, longer each time. A cold server that fails is pressed, not sick,
-// unless nothing comes back. Past the share that may be out only servers that lose everything go, while
-// another cell stands.
+// health takes out servers that fail far more than the rest though calmer (hung, failing fast, cut off), for
+// longer each time. A cold one is pressed, not sick, unless nothing comes back. Past a third of a cell only
+// servers that lose everything go, while another cell stands.
 func (a *Assigner) health() {
 	a.met = tally{}
 	for _, c := range a.cells {
@@ -420,7 +405,7 @@
 		e.cell.ready++
 		if e.sick && a.now-e.turnAt >= e.sickFor {
 			e.sick, e.turnAt, e.load, e.tries, e.fails = false, a.now, -1, 0, 0
-			e.ease = max(leastEase, e.ease*easeStep) // a slow one drowns again at its whole weight
+			e.ease = max(entry, e.ease*easeStep) // a slow one drowns again at its whole weight
 		}
 		if e.sick {
 			e.cell.sick++
@@ -441,8 +426,9 @@
 			continue
 		}
 		share, rest := e.fails, min(a.failing, (a.met.fails-e.fails)/max(1, a.met.servers-1))
-		if share > rest+sickMargin && (e.load < min(busy, a.load) && a.cold(e) == 1 || share > lost && e.load < full) &&
-			(e.cell.sick < int(outShare*float64(e.cell.ready)) || share > lost && a.stands(e.cell)) {
+		silent, few := share > lost && e.load < full, e.cell.sick < int(outShare*float64(e.cell.ready))
+		calmer := e.load < min(busy, a.load) && a.cold(e) == 1
+		if share > rest+sickMargin && (calmer || silent) && (few || share > lost && a.stands(e.cell)) {
 			e.sickFor = time.Duration((1 + a.chance()) * float64(a.lag()<<min(e.spells, settledLags)))
 			e.sick, e.turnAt, e.spells = true, a.now, e.spells+1
 			e.cell.sick++
@@ -465,9 +451,9 @@
 		if !e.usable() || e.load < 0 || a.now-e.eased < easeLags*a.lag() {
 			continue
 		}
-		if e.load > max(calm, a.load+apart) && e.ease > leastEase || e.load < a.load-apart && e.ease < 1 {
+		if e.load > max(calm, a.load+apart) && e.ease > entry || e.load < a.load-apart && e.ease < 1 {
 			stroke := max(easeStep, min(a.load/max(e.load, 1), 1/easeStep))
-			e.ease, e.eased = min(1, max(leastEase, e.ease*stroke)), a.now
+			e.ease, e.eased = min(1, max(entry, e.ease*stroke)), a.now
 		}
 	}
 }
@@ -585,9 +571,8 @@
 	slices.SortStableFunc(p.ranked, func(x, y *cell) int { return cmp.Compare(key(x), key(y)) })
 }
 
-// move shifts one proxy, no sooner than the last move shows: out of the highest cell, if it scores over 70
-// or holds or carries too much, to the lowest if that stays under 60, else to the commons; or back home
-// where there is room. The lightest proxy goes that brings the cell under; failing one, the heaviest.
+// move shifts one proxy once the last move shows: home where there is room, or out of the highest cell to the
+// lowest, if that stays under 60, or the commons. The lightest goes that brings it under, else the heaviest.
 func (a *Assigner) move() {
 	live := slices.DeleteFunc(slices.Clone(a.cells), func(c *cell) bool { return !c.live })
 	if len(a.cells) < 2 || len(live) < 1 || a.now-a.moveAt < a.lag() {
@@ -621,15 +606,13 @@
 	}
 }
 
-// admit sets the share of the work that is let in: what the servers can do over what is offered, both
-// learned while all is well and held in distress, when sums are late and repeats swell them. Lasting
-// distress trims the share, a step a lag; many failing tries cut it deep, for only that clears a jam.
+// admit sets the share of work let in: what servers can do over what is offered, both learned while all is
+// well. Lasting distress trims it, a step a lag; many failing tries cut it deep, for only that clears a jam.
 func (a *Assigner) admit() {
-	failing, all := a.failing, a.met.mean()
-	if a.load >= calm { // else one hot cell is for the moves to cool
-		failing = all
-	}
-	if a.load < fits { // what fails on calm servers is no jam
+	failing := a.failing // one hot cell is for the moves to cool
+	if a.load >= calm {
+		failing = a.met.mean()
+	} else if a.load < fits { // what fails on calm servers is no jam
 		failing = 0
 	}
 	distress := a.load >= busy || failing > failsMuch
@@ -660,21 +643,11 @@
 		goal *= (1 - failing) * (1 - failing)
 	}
 	a.admitted = max(leastLevel, min(goal, a.admitted+regain*k))
-	for _, c := range a.cells { // a jam in one cell, while the fleet is well
-		if own := c.met.mean(); own > sickMargin && c.load >= calm && !distress {
-			c.cut = min(c.cut, (1-own)*(1-own))
-		} else {
-			c.cut = min(1, c.cut+regain*k)
-		}
-	}
 }
 
 // level says how much of an op type is let in: what the admitted share leaves after those that earn more.
-func (a *Assigner) level(t *table, i int) float64 {
-	total, before, own, admitted := 0.0, 0.0, 0.0, a.admitted
-	if t.cell != nil {
-		admitted *= t.cell.cut
-	}
+func (a *Assigner) level(i int) float64 {
+	total, before, own := 0.0, 0.0, 0.0
 	for _, p := range a.joined {
 		for j, r := range p.rates {
 			total += r
@@ -688,12 +661,12 @@
 	if a.facts.Levels != control.LevelShare || own <= 0 {
 		return 1
 	}
-	share := (admitted*total - before) / own
+	share := (a.admitted*total - before) / own
 	return math.Round(50*min(1, max(leastLevel, share))) / 50
 }
 
-// want is the weight that a table should give a server. A cold one is kept out while its cell is jammed: where
-// proxies avoid what fails them, one server that still answers gets their whole burst.
+// want is the weight that a table should give a server. A cold one is kept out while its cell is jammed, for
+// where proxies avoid what fails them, one server that still answers gets their whole burst.
 func (a *Assigner) want(t *table, e *endpoint) float64 {
 	early := a.cold(e) < 1 && e.cell.jammed && a.serves(t, e)
 	if e.mode == control.Ready && (t.cell == nil || t.cell == e.cell) && !early {
@@ -728,40 +701,33 @@
 }
 
 // users are the joined proxies on a table; on none: on their standing ones.
-func (a *Assigner) users(t *table) (on []*proxy) {
-	for _, p := range a.joined {
-		if p.table == t {
-			on = append(on, p)
-		}
-	}
-	return on
+func (a *Assigner) users(t *table) []*proxy {
+	return slices.DeleteFunc(slices.Clone(a.joined), func(p *proxy) bool { return p.table != t })
 }
 
-// serves tells whether a table, as sent, has a line to pick besides one server's.
+// serves tells whether a table, as sent, has a line to pick besides one server's; a warm one, if it is cold.
 func (a *Assigner) serves(t *table, but *endpoint) bool {
 	return slices.ContainsFunc(a.listed, func(e *endpoint) bool {
-		return e != but && e.told[t.id] > 0 && !e.out && e.usable() && (but == nil || a.cold(but) == 1 || a.cold(e) == 1)
+		open := e != but && e.told[t.id] > 0 && !e.out && e.usable()
+		return open && (but == nil || a.cold(but) == 1 || a.cold(e) == 1)
 	})
 }
 
-// withdraw shuts out what is not to be sent to, and lets it in again; a sick one stays where a table would be bare.
-// Only the proxies whose tables may name a server are sent it.
+// withdraw shuts servers out, or lets them in again, at the proxies whose tables may name them; a sick one
+// stays where a table would be bare.
 func (a *Assigner) withdraw() {
 	for _, e := range a.listed {
 		if e.out != e.usable() {
 			continue
 		}
-		holders, bare, room := a.users(nil), false, softWaiting
+		holders, bare := a.users(nil), false
 		for _, t := range a.tables {
-			if users := a.users(t); e.told[t.id] > 0 && users != nil {
+			if users := a.users(t); e.told[t.id] > 0 && len(users) > 0 {
 				holders = append(holders, users...)
 				bare = bare || !e.out && e.mode == control.Ready && !a.serves(t, e)
 			}
 		}
-		if !e.out {
-			room = hardWaiting
-		}
-		if !bare && a.charge(room, 1, holders...) {
+		if !bare && a.charge(hardWaiting, 1, holders...) {
 			e.out = !e.out
 			a.do(control.Suspend{Endpoint: e.id, Out: e.out})
 		}
@@ -777,7 +743,7 @@
 			want, told := a.want(t, e), e.told[t.id]
 			gone := want == 0 && !e.usable()
 			later := room == hardWaiting && told != 0 && (gone || want > told)
-			later = later || e.sick && told > 0 || gone && !e.out && users != nil
+			later = later || e.sick && told > 0 || gone && !e.out && len(users) > 0
 			if want != told && !later && a.charge(room, 1, users...) {
 				e.told[t.id] = want
 				a.do(control.PutLine{Table: t.id, Endpoint: e.id, Weight: want})
@@ -797,7 +763,7 @@
 		if !p.placed || p.table == t || later || !a.serves(t, nil) {
 			continue
 		}
-		lines := 1 + float64(len(a.ops))
+		lines := 1.0
 		for _, e := range a.listed {
 			if e.told[t.id] > 0 && e.out {
 				lines += 2 // its withdrawal is sent along
@@ -814,20 +780,18 @@
 
 // levels sends how much is let in; trying again only what surely never ran is safe for every op type.
 func (a *Assigner) levels() {
-	for _, t := range a.tables {
-		users := a.users(t)
-		for i := range a.ops {
-			if level := a.level(t, i); level != t.levels[i] && a.charge(softWaiting, 1, users...) {
-				t.levels[i] = level
-				a.do(control.SetLevel{Table: t.id, OpTypes: 1 << i, Level: level, Again: control.IfUnrun})
-			}
+	for i := range a.ops {
+		op, level := &a.ops[i], a.level(i)
+		if level != op.level && a.charge(softWaiting, 1, a.joined...) {
+			op.level = level
+			a.do(control.SetLevel{Table: control.Everywhere, OpTypes: 1 << i, Level: level, Again: control.IfUnrun})
 		}
 	}
 }
 
 // charge books lines if the channel has room: a message's own, its checkpoint's and the levels' come first.
 func (a *Assigner) charge(room, lines float64, to ...*proxy) bool {
-	head := a.facts.MessageLines + 1
+	head := a.facts.MessageLines + 1 + float64(len(a.ops))
 	need := 0.0
 	for _, p := range to {
 		if need += lines; p.lines == 0 {
