--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,6 @@
-// Package policy holds every decision of vetchdoor. Assigner.Decide is the only way in: it takes what happened
-// to one instance at one moment, its start included, and returns what is to be done. The interface is in
-// package control; docs/design.md tells the design and when each exception acts.
+// Package policy holds every decision of vetchdoor. Assigner.Decide is the only way in: it takes what came
+// to one instance at one moment, its start too, and returns what is to be done. The interface is in package
+// control; docs/design.md tells the design and when each exception acts.
 package policy
 
 import (
@@ -734,7 +734,7 @@
 	}
 }
 
-// putLines brings the lines of tables up to date, new lines and falling weights at once. A line goes
+// putLines brings the lines of tables in use up to date, new lines and falling weights at once. A line goes
 // only once its server is withdrawn, so that no table runs empty on the way.
 func (a *Assigner) putLines(room float64) {
 	for _, t := range a.tables {
@@ -742,7 +742,7 @@
 		for _, e := range a.listed {
 			want, told := a.want(t, e), e.told[t.id]
 			gone := want == 0 && !e.usable()
-			later := room == hardWaiting && told != 0 && (gone || want > told)
+			later := told != 0 && (room == hardWaiting && (gone || want > told) || len(users) == 0)
 			later = later || e.sick && told > 0 || gone && !e.out && len(users) > 0
 			if want != told && !later && a.charge(room, 1, users...) {
 				e.told[t.id] = want
