--- a/policy/policy.go
+++ b/policy/policy.go
@@ -739,10 +739,11 @@
 func (a *Assigner) putLines(room float64) {
 	for _, t := range a.tables {
 		users := a.users(t)
+		wanted := slices.ContainsFunc(a.joined, func(p *proxy) bool { return p.placed && p.cell == t.cell })
 		for _, e := range a.listed {
 			want, told := a.want(t, e), e.told[t.id]
 			gone := want == 0 && !e.usable()
-			later := told != 0 && (room == hardWaiting && (gone || want > told) || len(users) == 0)
+			later := told != 0 && room == hardWaiting && (gone || want > told) || len(users) == 0 && !wanted
 			later = later || e.sick && told > 0 || gone && !e.out && len(users) > 0
 			if want != told && !later && a.charge(room, 1, users...) {
 				e.told[t.id] = want
