--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -26,7 +26,7 @@
 //	restart                     the instance dies and starts anew
 //	run 10                      seconds pass
 //	mark                        binds are counted from here
-//	expect table 7 0            also: line T E w, out E, in E, level K w, binds n, open 7 (can pick)
+//	expect table 7 0; in 1      also: line T E w, out E, level K w, binds n, open 7 (can pick)
 //
 // Numbers in expect may be written <n or >n. After every turn the runner itself checks that orders are legal, that
 // no bound proxy is bare while a warm ready server is listed, and that no more lines wait than may.
@@ -71,7 +71,7 @@
 		zones: map[control.ProxyID]int{}, hears: map[control.EndpointID][3]float64{},
 		asks: map[control.ProxyID]float64{}, facts: control.Facts{
 			Zones: 2, Proxies: 4, Instances: 1, Levels: control.LevelShare, ReportEvery: time.Second, PushDelayMost: time.Second / 2,
-			LinesPerSecond: 2000, MostWaiting: 4000, MessageLines: 5, ListedWeights: true,
+			LinesPerSecond: 2000, MostWaiting: 4000, MessageCapOver: 10 * time.Second, MessageLines: 5, ListedWeights: true,
 			Measures: []control.Measure{control.Util}, CrossZonePrice: 0.08, ColdFor: 16 * time.Second,
 			ColdShare: 0.2, DrainGrace: 2 * time.Second, OverloadFactor: 4, FallAfter: 2 * time.Second,
 			OpTypes: []control.OpType{
@@ -233,17 +233,14 @@
 	for _, pair := range pairs {
 		key, text, _ := strings.Cut(pair, "=")
 		v := w.number(text)
-		switch key {
-		case "waiting":
+		count := map[string]*int{"avoid": &w.facts.OutlierAfter, "standing": &w.facts.Bootstrap, "cap": &w.facts.MessageCap,
+			"proxies": &w.facts.Proxies, "slices": &w.facts.Slices}[key]
+		if key == "waiting" {
 			w.facts.MostWaiting = v
-		case "avoid":
-			w.facts.OutlierAfter = int(v)
-		case "slices":
-			w.facts.Slices = int(v)
-		case "cap":
-			w.facts.MessageCap, w.facts.MessageCapOver = int(v), 10*time.Second
-		default:
+		} else if count == nil {
 			w.fail("unknown setting")
+		} else {
+			*count = int(v)
 		}
 	}
 }
@@ -335,7 +332,9 @@
 		case "mark":
 			w.binds = 0
 		case "expect":
-			w.expect(f[1:])
+			for _, one := range strings.Split(strings.TrimSpace(line)[len("expect"):], ";") {
+				w.expect(strings.Fields(one))
+			}
 		default:
 			w.fail("unknown statement")
 		}
