--- a/policy/policy.go
+++ b/policy/policy.go
@@ -607,7 +607,7 @@
 }
 
 // admit sets the share of work let in: what servers can do over what is offered, both learned while all is
-// well. Lasting distress trims it, a step a lag; many failing tries cut it deep, for only that clears a jam.
+// well. Lasting distress trims it, a step a lag; many failing tries cut it by as much, for that clears a jam.
 func (a *Assigner) admit() {
 	failing := a.failing // one hot cell is for the moves to cool
 	if a.load >= calm {
@@ -640,7 +640,7 @@
 	}
 	goal := min(1, share*a.trim)
 	if failing > failsMuch {
-		goal *= (1 - failing) * (1 - failing)
+		goal *= 1 - failing
 	}
 	a.admitted = max(leastLevel, min(goal, a.admitted+regain*k))
 }
