--- a/policy/policy.go
+++ b/policy/policy.go
@@ -277,7 +277,7 @@
 		e := a.endpoints[n.Endpoint]
 		fresh := e == nil
 		if fresh {
-			e = &endpoint{id: n.Endpoint, started: control.LongAgo, area: n.Zone % a.areas}
+			e = &endpoint{id: n.Endpoint, area: n.Zone % a.areas}
 			a.endpoints[e.id] = e
 			a.listed = append(a.listed, e)
 		}
@@ -416,10 +416,9 @@
 	}
 	a.failing = 1
 	for _, c := range a.cells {
-		failing := c.met.mean()
-		a.failing = min(a.failing, failing)
+		a.failing = min(a.failing, c.met.mean())
 		c.jammed = a.facts.OutlierAfter > 0 &&
-			(c.heard == 0 || c.load >= busy || max(failing, a.met.mean()) > sickMargin)
+			(c.heard == 0 || c.load >= busy || max(c.met.mean(), a.met.mean()) > sickMargin)
 	}
 	for _, e := range a.listed {
 		if !e.usable() || e.tries < leastTries {
@@ -668,11 +667,11 @@
 // want is the weight that a table should give a server. A cold one is kept out while its cell is jammed, for
 // where proxies avoid what fails them, one server that still answers gets their whole burst.
 func (a *Assigner) want(t *table, e *endpoint) float64 {
-	early := a.cold(e) < 1 && e.cell.jammed && a.serves(t, e)
-	if e.mode == control.Ready && (t.cell == nil || t.cell == e.cell) && !early {
-		return e.weight * a.fit(e)
+	if e.mode != control.Ready || t.cell != nil && t.cell != e.cell ||
+		a.cold(e) < 1 && e.cell.jammed && a.serves(t, e) {
+		return 0
 	}
-	return 0
+	return e.weight * a.fit(e)
 }
 
 // push sends what differs from what was sent, the most urgent first, as the channel has room. Where keys
@@ -721,7 +720,7 @@
 			continue
 		}
 		holders, bare := a.users(nil), false
-		for _, t := range a.tables {
+		for _, t := range []*table{e.cell.table, a.tables[len(a.tables)-1]} { // no other names it
 			if users := a.users(t); e.told[t.id] > 0 && len(users) > 0 {
 				holders = append(holders, users...)
 				bare = bare || !e.out && e.mode == control.Ready && !a.serves(t, e)
