--- /dev/null
+++ b/cmd/vetchdoor/daemons.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"vetchdoor/control"
+	"vetchdoor/files"
+	"vetchdoor/lab/node"
+	stand "vetchdoor/lab/roster"
+	"vetchdoor/pilot"
+	"vetchdoor/proxy"
+	"vetchdoor/roster"
+)
+
+// daemon is a sub-command that runs until a signal ends it.
+func daemon(use, short string, run func(path string) (stop func(), err error)) *cobra.Command {
+	var path string
+	c := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, args []string) error {
+		end := signals()
+		stop, err := run(path)
+		if err != nil {
+			return err
+		}
+		slog.Info("ends", "signal", (<-end).String())
+		stop()
+		return nil
+	}}
+	c.Flags().StringVarP(&path, "file", "f", "", "its file, JSON (vetchdoor schema "+use+")")
+	_ = c.MarkFlagRequired("file")
+	return c
+}
+
+func pilotCommand() *cobra.Command {
+	return daemon("pilot", "runs a pilot", func(path string) (func(), error) {
+		var f files.Pilot
+		if err := files.Read(path, "pilot", &f); err != nil {
+			return nil, err
+		}
+		p, err := pilot.New(&f, slog.Default())
+		if err != nil {
+			return nil, err
+		}
+		return p.Stop, p.Start()
+	})
+}
+
+func proxyCommand() *cobra.Command {
+	return daemon("proxy", "runs a proxy", func(path string) (func(), error) {
+		var f files.Proxy
+		if err := files.Read(path, "proxy", &f); err != nil {
+			return nil, err
+		}
+		p, err := proxy.New(&f, slog.Default())
+		if err != nil {
+			return nil, err
+		}
+		return func() { p.Stop(context.Background()) }, p.Start()
+	})
+}
+
+func nodeCommand() *cobra.Command {
+	return daemon("node", "runs stand-ins for servers", func(path string) (func(), error) {
+		var f files.Node
+		if err := files.Read(path, "node", &f); err != nil {
+			return nil, err
+		}
+		machines := map[string]files.Machine{}
+		for _, m := range f.Machines {
+			machines[m.Name] = m
+		}
+		ledger := node.NewLedger()
+		var running []*node.Node
+		stop := func() {
+			for _, n := range running {
+				n.Stop()
+			}
+			slog.Info("nodes ended", "tries", len(ledger.Arrivals()), "effects", len(ledger.Effects()))
+		}
+		for _, at := range f.Nodes {
+			n := node.New(at, machines[at.Machine], &f.Service, f.Limits, f.Seed, ledger)
+			if err := n.Start(at.Cold); err != nil {
+				stop()
+				return nil, err
+			}
+			slog.Info("node runs", "endpoint", at.Endpoint, "listen", n.Address())
+			running = append(running, n)
+		}
+		return stop, nil
+	})
+}
+
+func rosterCommand() *cobra.Command {
+	return daemon("roster", "runs a stand-in for the list service; it reads its file again when that changes",
+		func(path string) (func(), error) {
+			var f files.Roster
+			if err := files.Read(path, "roster", &f); err != nil {
+				return nil, err
+			}
+			s, err := stand.Start(f.Listen, rosterEntries(&f, nil))
+			if err != nil {
+				return nil, err
+			}
+			slog.Info("list service runs", "listen", s.Address(), "entries", len(f.Entries))
+			done := make(chan struct{})
+			go follow(path, &f, s, done)
+			return func() { close(done); s.Close() }, nil
+		})
+}
+
+// rosterEntries reads the entries of a file. One that comes back after it was gone, or is new to a running list, started
+// now.
+func rosterEntries(f *files.Roster, before map[control.EndpointID]roster.Entry) []roster.Entry {
+	var out []roster.Entry
+	for _, e := range f.Entries {
+		mode := e.Mode
+		if mode == "" {
+			mode = "ready"
+		}
+		x := roster.Entry{Endpoint: control.EndpointID(e.Endpoint), Address: netip.MustParseAddrPort(e.Address), Zone: e.Zone,
+			Pack: e.Pack, Weight: e.Weight, Mode: mode}
+		if x.Weight == 0 {
+			x.Weight = 1
+		}
+		if before != nil {
+			if old, ok := before[x.Endpoint]; ok {
+				x.Started = old.Started
+			} else {
+				x.Started = time.Now().UnixMilli()
+			}
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+// follow serves a file's changes. A file that cannot be read leaves the list as it is.
+func follow(path string, f *files.Roster, s *stand.Server, done <-chan struct{}) {
+	last := time.Time{}
+	if info, err := os.Stat(path); err == nil {
+		last = info.ModTime()
+	}
+	t := time.NewTicker(250 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-t.C:
+		}
+		info, err := os.Stat(path)
+		if err != nil || info.ModTime().Equal(last) {
+			continue
+		}
+		last = info.ModTime()
+		var n files.Roster
+		if err := files.Read(path, "roster", &n); err != nil {
+			slog.Error("the list stays as it is", "error", err)
+			continue
+		}
+		before := map[control.EndpointID]roster.Entry{}
+		for _, e := range s.Entries() {
+			before[e.Endpoint] = e
+		}
+		var changes []roster.Entry
+		for _, e := range rosterEntries(&n, before) {
+			if before[e.Endpoint] != e {
+				changes = append(changes, e)
+			}
+			delete(before, e.Endpoint)
+		}
+		for _, e := range before {
+			e.Mode = "gone"
+			changes = append(changes, e)
+		}
+		if len(changes) > 0 {
+			s.Set(changes...)
+			slog.Info("the list changed", "entries", len(changes))
+		}
+	}
+}
--- /dev/null
+++ b/files/contradictions.go
@@ -0,0 +1,247 @@
+package files
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"time"
+)
+
+// A contradiction is between values that are each allowed. Each check names the later of the two places.
+
+func fault(pointer string, found any, allowed string, args ...any) *Fault {
+	text := fmt.Sprint(found)
+	if s, ok := found.(string); ok {
+		text = strconv.Quote(s)
+	}
+	if d, ok := found.(Duration); ok {
+		text = time.Duration(d).String()
+	}
+	return &Fault{Pointer: pointer, Found: text, Allowed: fmt.Sprintf(allowed, args...)}
+}
+
+func (s *Service) contradictions(at string) *Fault {
+	if f := twice(at+"/zones", len(s.Zones), func(i int) string { return s.Zones[i] }); f != nil {
+		return f
+	}
+	if f := twice(at+"/op_types", len(s.OpTypes), func(i int) string { return s.OpTypes[i].Name }); f != nil {
+		return f
+	}
+	for i, t := range s.OpTypes {
+		here := fmt.Sprintf("%s/op_types/%d", at, i)
+		switch {
+		case t.TargetLatency <= 0:
+			return fault(here+"/target_latency", t.TargetLatency, "more than 0")
+		case t.OpTimeout < t.TargetLatency:
+			return fault(here+"/op_timeout", t.OpTimeout, "at least the target latency, %v", t.TargetLatency.Span())
+		case t.Repeat == "deduplicated" && t.DedupWindow <= 0:
+			return fault(here+"/dedup_window", t.DedupWindow, "more than 0, for the op type is deduplicated")
+		case t.Repeat != "deduplicated" && (t.DedupWindow != 0 || t.Group != ""):
+			return fault(here+"/repeat", t.Repeat, "deduplicated, where a group or a dedup_window is given")
+		}
+	}
+	if s.ReportEvery.Span() < 10*time.Millisecond {
+		return fault(at+"/report_every", s.ReportEvery, "10ms or more")
+	}
+	if s.OutlierAfter > 0 && s.OutlierFor <= 0 {
+		return fault(at+"/outlier_for", s.OutlierFor, "more than 0, for outlier_after is given")
+	}
+	return nil
+}
+
+func twice(at string, n int, key func(int) string) *Fault {
+	seen := map[string]bool{}
+	for i := range n {
+		if k := key(i); seen[k] {
+			return fault(fmt.Sprintf("%s/%d", at, i), k, "a name that no other bears")
+		} else {
+			seen[k] = true
+		}
+	}
+	return nil
+}
+
+func (s *Service) zone(at, zone string) *Fault {
+	if s.ZoneIndex(zone) < 0 {
+		return fault(at, zone, "one of the zones %v", s.Zones)
+	}
+	return nil
+}
+
+func (l *Limits) contradictions(at string) *Fault {
+	switch {
+	case l.EmptyFor <= 0:
+		return fault(at+"/empty_for", l.EmptyFor, "more than 0")
+	case l.DrainGrace <= 0:
+		return fault(at+"/drain_grace", l.DrainGrace, "more than 0")
+	case l.ColdFor > 0 && l.FallAfter <= 0:
+		return fault(at+"/fall_after", l.FallAfter, "more than 0, for servers start cold")
+	}
+	return nil
+}
+
+func (c *Channel) contradictions(at string, proxies, bootstrap, types int, l *Limits) *Fault {
+	// Rules 1 and 3 ask that what cannot be put off can be sent in time: a withdrawal to each proxy, and a table.
+	least := proxies * (c.MessageLines + types + 2)
+	if c.MostWaiting < least {
+		return fault(at+"/most_waiting", c.MostWaiting, "%d or more: one line to each of %d proxies", least, proxies)
+	}
+	if need := float64(least) / c.LinesPerSecond; need > l.DrainGrace.Span().Seconds() {
+		return fault(at+"/lines_per_second", c.LinesPerSecond, "%.0f or more: a line to each proxy within drain_grace, %v",
+			float64(least)/l.DrainGrace.Span().Seconds(), l.DrainGrace.Span())
+	}
+	if c.MessageCap > 0 && c.MessageCapOver <= 0 {
+		return fault(at+"/message_cap_over", c.MessageCapOver, "more than 0, for message_cap is given")
+	}
+	if c.PushDelayMost < c.PushDelay {
+		return fault(at+"/push_delay_most", c.PushDelayMost, "at least push_delay, %v", c.PushDelay.Span())
+	}
+	return nil
+}
+
+func first(faults ...func() *Fault) *Fault {
+	for _, f := range faults {
+		if found := f(); found != nil {
+			return found
+		}
+	}
+	return nil
+}
+
+func (p *Pilot) contradictions() *Fault {
+	return first(
+		func() *Fault { return p.Service.contradictions("/service") },
+		func() *Fault { return p.Service.zone("/zone", p.Zone) },
+		func() *Fault { return p.Limits.contradictions("/limits") },
+		func() *Fault {
+			return p.Channel.contradictions("/channel", p.Proxies, p.Service.Bootstrap, len(p.Service.OpTypes), &p.Limits)
+		},
+		func() *Fault {
+			if p.Instance >= max(1, p.Instances) {
+				return fault("/instance", p.Instance, "under instances, %d", max(1, p.Instances))
+			}
+			return nil
+		},
+	)
+}
+
+func (p *Proxy) contradictions() *Fault {
+	if f := first(
+		func() *Fault { return p.Service.contradictions("/service") },
+		func() *Fault { return p.Service.zone("/zone", p.Zone) }); f != nil {
+		return f
+	}
+	for i, at := range p.Pilots {
+		if f := p.Service.zone(fmt.Sprintf("/pilots/%d/zone", i), at.Zone); f != nil {
+			return f
+		}
+	}
+	seen := map[uint32]bool{}
+	for i, s := range p.Servers {
+		here := fmt.Sprintf("/servers/%d", i)
+		if f := p.Service.zone(here+"/zone", s.Zone); f != nil {
+			return f
+		}
+		if _, err := netip.ParseAddrPort(s.Address); err != nil {
+			return fault(here+"/address", s.Address, "an IP address with a port")
+		}
+		if seen[s.Endpoint] {
+			return fault(here+"/endpoint", s.Endpoint, "a number that no other server has")
+		}
+		seen[s.Endpoint] = true
+	}
+	return nil
+}
+
+func nodesContradict(at string, nodes []NodeAt, machines []Machine, s *Service) *Fault {
+	names := map[string]bool{}
+	for i, m := range machines {
+		if m.Speed[0] > m.Speed[1] {
+			return fault(fmt.Sprintf("%s/machines/%d/speed", at, i), m.Speed, "the lower figure first")
+		}
+		names[m.Name] = true
+	}
+	seen := map[uint32]bool{}
+	for i, n := range nodes {
+		here := fmt.Sprintf("%s/nodes/%d", at, i)
+		if !names[n.Machine] {
+			return fault(here+"/machine", n.Machine, "the name of one of the machines")
+		}
+		if f := s.zone(here+"/zone", n.Zone); f != nil {
+			return f
+		}
+		if seen[n.Endpoint] {
+			return fault(here+"/endpoint", n.Endpoint, "a number that no other node has")
+		}
+		seen[n.Endpoint] = true
+	}
+	return nil
+}
+
+func (n *Node) contradictions() *Fault {
+	return first(
+		func() *Fault { return n.Service.contradictions("/service") },
+		func() *Fault { return n.Limits.contradictions("/limits") },
+		func() *Fault { return nodesContradict("", n.Nodes, n.Machines, &n.Service) },
+	)
+}
+
+func (r *Roster) contradictions() *Fault {
+	s := &Service{Zones: r.Zones}
+	seen := map[uint32]bool{}
+	for i, e := range r.Entries {
+		here := fmt.Sprintf("/entries/%d", i)
+		if f := s.zone(here+"/zone", e.Zone); f != nil {
+			return f
+		}
+		if _, err := netip.ParseAddrPort(e.Address); err != nil {
+			return fault(here+"/address", e.Address, "an IP address with a port")
+		}
+		if seen[e.Endpoint] {
+			return fault(here+"/endpoint", e.Endpoint, "a number that no other entry has")
+		}
+		seen[e.Endpoint] = true
+	}
+	return nil
+}
+
+func (d *Day) contradictions() *Fault {
+	if f := first(
+		func() *Fault { return d.Service.contradictions("/service") },
+		func() *Fault { return d.Limits.contradictions("/limits") },
+		func() *Fault {
+			return d.Channel.contradictions("/channel", d.Fleet.Proxies, d.Service.Bootstrap, len(d.Service.OpTypes), &d.Limits)
+		},
+		func() *Fault { return nodesContradict("/fleet", d.Fleet.Exactly, d.Fleet.Machines, &d.Service) }); f != nil {
+		return f
+	}
+	if (d.Load.OfCapacity > 0) == (d.Load.PerSecond > 0) {
+		return fault("/load/of_capacity", d.Load.OfCapacity, "one of of_capacity and ops_per_second above 0")
+	}
+	types := map[string]bool{}
+	for _, t := range d.Service.OpTypes {
+		types[t.Name] = true
+	}
+	for i, w := range d.Load.Works {
+		if !types[w.OpType] {
+			return fault(fmt.Sprintf("/load/works/%d/op_type", i), w.OpType, "the name of one of the op types")
+		}
+		if w.Mean <= 0 {
+			return fault(fmt.Sprintf("/load/works/%d/mean", i), w.Mean, "more than 0")
+		}
+	}
+	if n := len(d.Load.ZoneShare); n > 0 && n != len(d.Service.Zones) {
+		return fault("/load/zone_share", n, "one share for each of the %d zones", len(d.Service.Zones))
+	}
+	for i, t := range d.Troubles {
+		if t.At > d.Length {
+			return fault(fmt.Sprintf("/troubles/%d/at", i), t.At, "at most the day's length, %v", d.Length.Span())
+		}
+		if t.Zone != "" {
+			if f := d.Service.zone(fmt.Sprintf("/troubles/%d/zone", i), t.Zone); f != nil {
+				return f
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/files/day.go
@@ -0,0 +1,103 @@
+package files
+
+// Fleet is how many of each a day has, or which.
+type Fleet struct {
+	Pilots   int       `json:"pilots"`
+	Proxies  int       `json:"proxies"`
+	Nodes    int       `json:"nodes"`
+	Spare    int       `json:"spare,omitempty"` // nodes that "grow" can switch on
+	PackSize int       `json:"pack_size,omitempty"`
+	Machines []Machine `json:"machines"`
+	Exactly  []NodeAt  `json:"exactly,omitempty"` // the nodes one by one, in place of drawing them
+}
+
+// List is how the day's roster behaves.
+type List struct {
+	Notice       Duration `json:"notice"`        // until it sees that a process ended
+	SilentNotice Duration `json:"silent_notice"` // until it sees that a machine went silent
+	Add          Duration `json:"add"`           // until it lists a start or a drain
+}
+
+// Net is the way between the parts, one way.
+type Net struct {
+	Same  Duration `json:"same"`
+	Cross Duration `json:"cross"`
+	Push  Duration `json:"push"` // a pilot's messages, on top
+	Hears Duration `json:"hears"`
+}
+
+// Load is what clients ask for.
+type Load struct {
+	OfCapacity float64   `json:"of_capacity,omitempty"` // of what the nodes can do; or
+	PerSecond  float64   `json:"ops_per_second,omitempty"`
+	Swing      float64   `json:"swing,omitempty"` // part by which it rises and falls over the day
+	Spread     float64   `json:"spread,omitempty"`
+	ZoneShare  []float64 `json:"zone_share,omitempty"`
+	Works      []Work    `json:"works"`
+}
+
+// Work is the work of an op type.
+type Work struct {
+	OpType string   `json:"op_type"`
+	Share  float64  `json:"share"`
+	Mean   Duration `json:"mean"`
+	CV     float64  `json:"cv,omitempty"` // of a lognormal draw; 0: exponential
+}
+
+// Clients is how callers behave.
+type Clients struct {
+	Retries  int      `json:"retries"`
+	TryShare float64  `json:"try_share"` // a try is given up after this share of the op timeout
+	Backoff  Duration `json:"backoff,omitempty"`
+	Honour   float64  `json:"honour,omitempty"` // share of clients that keep to Retry-After
+}
+
+// Trouble is one thing that goes wrong.
+type Trouble struct {
+	Kind   string   `json:"kind"`
+	At     Duration `json:"at"`
+	Length Duration `json:"length"`
+	Part   float64  `json:"part,omitempty"`
+	Size   float64  `json:"size,omitempty"`
+	Extra  float64  `json:"extra,omitempty"`
+	Zone   string   `json:"zone,omitempty"`
+	On     []uint32 `json:"on,omitempty"` // endpoints, proxies or pilots, by the kind; else drawn
+}
+
+// Goal is how the day's service is added up.
+type Goal struct {
+	Whole       float64 `json:"whole"`
+	WorstWindow float64 `json:"worst_window"`
+	WorstType   float64 `json:"worst_type"`
+	Tail        float64 `json:"tail,omitempty"`
+	TailMiss    float64 `json:"tail_miss,omitempty"`
+}
+
+// Prices are taken off the service, each times its rate.
+type Prices struct {
+	CrossZone  float64 `json:"cross_zone,omitempty"`
+	Waste      float64 `json:"waste,omitempty"`
+	Connection float64 `json:"connection,omitempty"`
+	Handshake  float64 `json:"handshake,omitempty"`
+	LateFail   float64 `json:"late_fail,omitempty"`
+	Orders     float64 `json:"orders,omitempty"`
+}
+
+// Day is a day for the laboratory.
+type Day struct {
+	Kind     string    `json:"kind"`
+	Name     string    `json:"name"`
+	Length   Duration  `json:"length"`
+	Seed     uint64    `json:"seed"`
+	Service  Service   `json:"service"`
+	Limits   Limits    `json:"limits"`
+	Channel  Channel   `json:"channel"`
+	Fleet    Fleet     `json:"fleet"`
+	List     List      `json:"list"`
+	Net      Net       `json:"net"`
+	Load     Load      `json:"load"`
+	Clients  Clients   `json:"clients"`
+	Troubles []Trouble `json:"troubles,omitempty"`
+	Goal     Goal      `json:"goal"`
+	Prices   Prices    `json:"prices,omitzero"`
+}
--- /dev/null
+++ b/files/files.go
@@ -0,0 +1,276 @@
+// Package files reads vetchdoor's files: JSON, checked against a schema first and for contradictions after. Read is the
+// way in; what it finds wrong it names by file, JSON pointer, what was found and what is allowed, in one line.
+package files
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"vetchdoor/control"
+)
+
+// Duration is a time.Duration written as a string such as "750ms" or "2s".
+type Duration time.Duration
+
+// Span returns it as a time.Duration.
+func (d Duration) Span() time.Duration { return time.Duration(d) }
+
+// MarshalJSON writes the string.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+
+// UnmarshalJSON reads the string.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return err
+	}
+	span, err := time.ParseDuration(s)
+	*d = Duration(span)
+	return err
+}
+
+// Match tells which ops are of a type; what is empty matches all. The first type that matches wins.
+type Match struct {
+	Method     string `json:"method,omitempty"`
+	PathPrefix string `json:"path_prefix,omitempty"`
+	Header     string `json:"header,omitempty"` // NAME: VALUE
+}
+
+// OpType is one type of op, as control.OpType, with the rule by which a proxy knows it.
+type OpType struct {
+	Name          string   `json:"name"`
+	Match         Match    `json:"match"`
+	TargetLatency Duration `json:"target_latency"`
+	OpTimeout     Duration `json:"op_timeout"`
+	Revenue       float64  `json:"revenue"`
+	LateShare     float64  `json:"late_share,omitempty"`
+	Repeat        string   `json:"repeat"`
+	Group         string   `json:"group,omitempty"`
+	DedupWindow   Duration `json:"dedup_window,omitempty"`
+	OwnZoneOnly   bool     `json:"own_zone_only,omitempty"`
+	Writes        bool     `json:"writes,omitempty"`
+}
+
+// Service is what is served: the zones and op types, and how proxies work.
+type Service struct {
+	Zones        []string `json:"zones"`
+	OpTypes      []OpType `json:"op_types"`
+	Measures     []string `json:"measures,omitempty"` // of load reports, by their ORCA names
+	ReportEvery  Duration `json:"report_every"`
+	TryShare     float64  `json:"try_share,omitempty"`     // a try that may be followed waits this share of the target latency
+	OutlierAfter int      `json:"outlier_after,omitempty"` // own failures in a row after which a proxy avoids a server; 0: never
+	OutlierFor   Duration `json:"outlier_for,omitempty"`
+	Bootstrap    int      `json:"bootstrap"` // servers of a standing table, at most
+	UsualAgain   string   `json:"usual_again,omitempty"`
+	CrossZone    float64  `json:"cross_zone_price,omitempty"`
+}
+
+// Limits are the figures behind the five rules.
+type Limits struct {
+	EmptyFor       Duration `json:"empty_for"`
+	DrainGrace     Duration `json:"drain_grace"`
+	ColdFor        Duration `json:"cold_for"`
+	ColdShare      float64  `json:"cold_share"`
+	OverloadFactor float64  `json:"overload_factor"`
+	FallAfter      Duration `json:"fall_after"`
+}
+
+// Channel is how fast a pilot sends, and how much may wait.
+type Channel struct {
+	LinesPerSecond       float64  `json:"lines_per_second"`
+	MessageLines         int      `json:"message_lines"`
+	MostWaiting          int      `json:"most_waiting"`
+	MessageCap           int      `json:"message_cap,omitempty"`
+	MessageCapOver       Duration `json:"message_cap_over,omitempty"`
+	PushDelay            Duration `json:"push_delay,omitempty"`
+	PushDelayMost        Duration `json:"push_delay_most,omitempty"`
+	ReportLinesPerSecond float64  `json:"report_lines_per_second"`
+}
+
+// Pilot is the file of a pilot.
+type Pilot struct {
+	Kind      string   `json:"kind"`
+	Name      string   `json:"name"`
+	Zone      string   `json:"zone"`
+	Instance  int      `json:"instance,omitempty"`
+	Instances int      `json:"instances,omitempty"`
+	Proxies   int      `json:"proxies"` // of all pilots
+	Listen    string   `json:"listen"`  // for proxies
+	Admin     string   `json:"admin,omitempty"`
+	Roster    string   `json:"roster"`
+	Cache     string   `json:"cache,omitempty"` // the last list
+	Tick      Duration `json:"tick,omitempty"`
+	Silent    Duration `json:"silent_after,omitempty"` // a stream without a word for so long is broken
+	Resume    Duration `json:"resume_within,omitempty"`
+	Seed      uint64   `json:"seed,omitempty"`
+	Probes    bool     `json:"probes,omitempty"`
+	Service   Service  `json:"service"`
+	Limits    Limits   `json:"limits"`
+	Channel   Channel  `json:"channel"`
+}
+
+// PilotAddress is where a proxy finds a pilot.
+type PilotAddress struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+}
+
+// StandingServer is a server that a proxy may take into its standing table.
+type StandingServer struct {
+	Endpoint uint32  `json:"endpoint"`
+	Address  string  `json:"address"`
+	Zone     string  `json:"zone"`
+	Pack     int     `json:"pack,omitempty"`
+	Weight   float64 `json:"weight,omitempty"`
+}
+
+// Pool is how a proxy keeps its connections to servers.
+type Pool struct {
+	PerServer      int      `json:"per_server,omitempty"`
+	IdleClose      Duration `json:"idle_close,omitempty"`
+	ConnectTimeout Duration `json:"connect_timeout,omitempty"`
+}
+
+// Proxy is the file of a proxy.
+type Proxy struct {
+	Kind       string           `json:"kind"`
+	ID         uint16           `json:"id"`
+	Zone       string           `json:"zone"`
+	Listen     string           `json:"listen"`
+	Admin      string           `json:"admin,omitempty"`
+	Pilots     []PilotAddress   `json:"pilots"`
+	Redial     Duration         `json:"redial,omitempty"` // mean wait between dials
+	Silent     Duration         `json:"silent_after,omitempty"`
+	Servers    []StandingServer `json:"servers,omitempty"`
+	Rate       float64          `json:"rate"` // ops a second it usually gets
+	RetryAfter Duration         `json:"retry_after,omitempty"`
+	Seed       uint64           `json:"seed,omitempty"`
+	Pool       Pool             `json:"pool,omitzero"`
+	Service    Service          `json:"service"`
+}
+
+// Machine is a kind of server that a node stands in for.
+type Machine struct {
+	Name        string     `json:"name"`
+	Share       float64    `json:"share,omitempty"` // of a fleet's nodes
+	Cores       int        `json:"cores"`
+	Speed       [2]float64 `json:"speed"` // work a second of a core, drawn between
+	Slots       int        `json:"slots"` // ops in work at once
+	Queue       int        `json:"queue"`
+	Connections int        `json:"connections"`
+	Handshake   Duration   `json:"handshake,omitempty"` // work of a new connection
+	ColdShare   float64    `json:"cold_share"`
+	ColdFor     Duration   `json:"cold_for"`
+	ErrorRate   float64    `json:"error_rate,omitempty"`
+	Report      Duration   `json:"report_every,omitempty"`
+	Cancels     bool       `json:"cancels,omitempty"` // work stops when its op is given up
+}
+
+// NodeAt is one node: a stand-in for a server.
+type NodeAt struct {
+	Endpoint uint32  `json:"endpoint"`
+	Listen   string  `json:"listen"`
+	Zone     string  `json:"zone"`
+	Pack     int     `json:"pack,omitempty"`
+	Machine  string  `json:"machine"`
+	Speed    float64 `json:"speed,omitempty"`
+	Weight   float64 `json:"weight,omitempty"`
+	Cold     bool    `json:"cold,omitempty"` // it has just started
+}
+
+// Node is the file of a process of nodes.
+type Node struct {
+	Kind     string    `json:"kind"`
+	Seed     uint64    `json:"seed,omitempty"`
+	Nodes    []NodeAt  `json:"nodes"`
+	Machines []Machine `json:"machines"`
+	Service  Service   `json:"service"`
+	Limits   Limits    `json:"limits"`
+}
+
+// RosterEntry is one endpoint of a roster's file.
+type RosterEntry struct {
+	Endpoint uint32  `json:"endpoint"`
+	Address  string  `json:"address"`
+	Zone     string  `json:"zone"`
+	Pack     int     `json:"pack,omitempty"`
+	Weight   float64 `json:"weight,omitempty"`
+	Mode     string  `json:"mode,omitempty"`
+}
+
+// Roster is the file of a list service. It is read again when it changes.
+type Roster struct {
+	Kind    string        `json:"kind"`
+	Listen  string        `json:"listen"`
+	Zones   []string      `json:"zones"`
+	Entries []RosterEntry `json:"entries"`
+}
+
+// ZoneIndex returns a zone's place among the zones; below 0 if it is none of them.
+func (s *Service) ZoneIndex(zone string) int {
+	for i, z := range s.Zones {
+		if z == zone {
+			return i
+		}
+	}
+	return -1
+}
+
+var (
+	repeats = map[string]control.Repeat{"retryable": control.Retryable, "deduplicated": control.Deduplicated,
+		"once-only": control.OnceOnly}
+	groups = map[string]control.Group{"": control.GroupAll, "all": control.GroupAll, "zone": control.GroupZone,
+		"pack": control.GroupPack}
+	agains = map[string]control.Again{"": control.Never, "never": control.Never, "if-unrun": control.IfUnrun,
+		"once": control.OnceMore, "twice": control.TwiceMore}
+	measures = map[string]control.Measure{"cpu_utilization": control.Util, "inflight": control.Inflight,
+		"queue": control.Queue, "latency_ms": control.Latency, "rps_fractional": control.Rate, "eps": control.ErrorRate}
+)
+
+// Types returns the op types as the module reads them.
+func (s *Service) Types() []control.OpType {
+	out := make([]control.OpType, len(s.OpTypes))
+	for i, t := range s.OpTypes {
+		out[i] = control.OpType{TargetLatency: t.TargetLatency.Span(), OpTimeout: t.OpTimeout.Span(), Revenue: t.Revenue,
+			LateShare: t.LateShare, Repeat: repeats[t.Repeat], Group: groups[t.Group], DedupWindow: t.DedupWindow.Span(),
+			OwnZoneOnly: t.OwnZoneOnly, Writes: t.Writes}
+	}
+	return out
+}
+
+// Again returns how tries are repeated where no level says.
+func (s *Service) Again() control.Again { return agains[s.UsualAgain] }
+
+// Facts are what the pilot's module is told at its start.
+func (p *Pilot) Facts() control.Facts {
+	s, l, c := &p.Service, &p.Limits, &p.Channel
+	f := control.Facts{
+		Instance: p.Instance, Instances: max(1, p.Instances), Zone: s.ZoneIndex(p.Zone), Zones: len(s.Zones),
+		OpTypes: s.Types(), Tick: p.Tick.Span(), Levels: control.LevelShare, UsualAgain: s.Again(), TryShare: s.TryShare,
+		OutlierAfter: s.OutlierAfter, Bootstrap: s.Bootstrap, Proxies: p.Proxies, MessageLines: float64(c.MessageLines),
+		LinesPerSecond: c.LinesPerSecond, MostWaiting: float64(c.MostWaiting), MessageCap: c.MessageCap,
+		MessageCapOver: c.MessageCapOver.Span(), PushDelay: c.PushDelay.Span(), PushDelayMost: c.PushDelayMost.Span(),
+		EmptyFor: l.EmptyFor.Span(), ReportEvery: s.ReportEvery.Span(), ReportLinesPerS: c.ReportLinesPerSecond,
+		Probes: p.Probes, CrossZonePrice: s.CrossZone, ListedWeights: true, ColdFor: l.ColdFor.Span(),
+		ColdShare: l.ColdShare, DrainGrace: l.DrainGrace.Span(), OverloadFactor: l.OverloadFactor,
+		FallAfter: l.FallAfter.Span(),
+	}
+	for _, m := range s.Measures {
+		f.Measures = append(f.Measures, measures[m])
+	}
+	return f
+}
+
+// ModeOf reads a mode as the list has it; an empty one is ready.
+func ModeOf(s string) (control.Mode, error) {
+	switch s {
+	case "", "ready":
+		return control.Ready, nil
+	case "draining":
+		return control.Draining, nil
+	case "gone":
+		return control.Gone, nil
+	}
+	return 0, fmt.Errorf("mode %q is none of ready, draining, gone", s)
+}
--- /dev/null
+++ b/lab/fleet.go
@@ -0,0 +1,411 @@
+package lab
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"vetchdoor/control"
+	"vetchdoor/files"
+	"vetchdoor/lab/link"
+	"vetchdoor/lab/node"
+	stand "vetchdoor/lab/roster"
+	"vetchdoor/pilot"
+	"vetchdoor/proxy"
+	"vetchdoor/roster"
+	"vetchdoor/runtime"
+)
+
+// fleet is all the parts of a day, running in this process over loopback sockets.
+type fleet struct {
+	day        *files.Day
+	log        *slog.Logger
+	rng        *rand.Rand // of the day's draws
+	tap        *link.Tap
+	ledger     *node.Ledger
+	list       *stand.Server
+	nodes      []*node.Node
+	spare      []*node.Node
+	pilots     []*pilotAt
+	proxies    []*proxyAt
+	dir        string
+	born       time.Time
+	mu         sync.Mutex // guards what troubles change
+	hot        []hotSpell
+	shifts     []hotSpell
+	shares     []float64 // of the traffic, by proxy
+	timers     sync.WaitGroup
+	stop       chan struct{}
+	handshakes int                              // of proxies that have ended
+	wrap       func(*files.Proxy, *proxy.Proxy) // tests make proxies faulty
+}
+
+// hotSpell is a share of the traffic that goes to some proxies for a while.
+type hotSpell struct {
+	from, to time.Duration
+	ramp     time.Duration
+	size     float64
+	proxies  []int
+}
+
+// pilotAt is one pilot and the ways to it.
+type pilotAt struct {
+	file  *files.Pilot
+	p     *pilot.Pilot // nil while dead
+	list  *link.Link
+	links []*link.Link // by proxy
+	zone  int
+}
+
+// proxyAt is one proxy.
+type proxyAt struct {
+	file    *files.Proxy
+	p       *proxy.Proxy // nil while dead
+	zone    int
+	address string
+	seeds   uint64
+}
+
+// newFleet builds and starts everything but the clients.
+func newFleet(day *files.Day, log *slog.Logger, wrap func(*files.Proxy, *proxy.Proxy)) (f *fleet, err error) {
+	f = &fleet{day: day, log: log, rng: rand.New(rand.NewPCG(day.Seed, 2)), ledger: node.NewLedger(), born: time.Now(),
+		stop: make(chan struct{}), wrap: wrap}
+	f.tap = link.NewTap(f.ledger.From())
+	defer func() {
+		if err != nil {
+			f.close()
+		}
+	}()
+	if f.dir, err = os.MkdirTemp("", "vetchdoor-day-"); err != nil {
+		return f, err
+	}
+	if err = f.startNodes(); err != nil {
+		return f, err
+	}
+	var entries []roster.Entry
+	for _, n := range f.nodes {
+		e, err := f.entry(n, "ready")
+		if err != nil {
+			return f, err
+		}
+		entries = append(entries, e)
+	}
+	if f.list, err = stand.Start("127.0.0.1:0", entries); err != nil {
+		return f, err
+	}
+	if err = f.startPilots(); err != nil {
+		return f, err
+	}
+	return f, f.startProxies()
+}
+
+// startNodes draws the nodes and starts those that run from the beginning.
+func (f *fleet) startNodes() error {
+	d := f.day
+	at := d.Fleet.Exactly
+	if len(at) == 0 {
+		at = f.drawNodes(d.Fleet.Nodes + d.Fleet.Spare)
+	}
+	machines := map[string]files.Machine{}
+	for _, m := range d.Fleet.Machines {
+		machines[m.Name] = m
+	}
+	spare := len(at) - d.Fleet.Spare
+	for i, a := range at {
+		n := node.New(a, machines[a.Machine], &d.Service, d.Limits, d.Seed, f.ledger)
+		if i >= spare {
+			f.spare = append(f.spare, n)
+			continue
+		}
+		if err := n.Start(false); err != nil {
+			return err
+		}
+		f.nodes = append(f.nodes, n)
+	}
+	return nil
+}
+
+// drawNodes spreads nodes over zones and machines.
+func (f *fleet) drawNodes(count int) []files.NodeAt {
+	d := f.day
+	size := max(1, d.Fleet.PackSize)
+	total := 0.0
+	for _, m := range d.Fleet.Machines {
+		total += max(m.Share, 1e-9)
+	}
+	used := map[uint32]bool{}
+	var out []files.NodeAt
+	for i := range count {
+		zone := i % len(d.Service.Zones)
+		a := files.NodeAt{Listen: "127.0.0.1:0", Zone: d.Service.Zones[zone], Pack: i / len(d.Service.Zones) / size}
+		for a.Endpoint = f.rng.Uint32(); used[a.Endpoint]; a.Endpoint = f.rng.Uint32() {
+		}
+		used[a.Endpoint] = true
+		x := f.rng.Float64() * total
+		for _, m := range d.Fleet.Machines {
+			if a.Machine = m.Name; x < max(m.Share, 1e-9) {
+				a.Weight = float64(m.Cores)
+				break
+			}
+			x -= max(m.Share, 1e-9)
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// entry is how the list shows a node.
+func (f *fleet) entry(n *node.Node, mode string) (roster.Entry, error) {
+	a := n.At()
+	at, err := netip.ParseAddrPort(n.Address())
+	if err != nil {
+		return roster.Entry{}, err
+	}
+	e := roster.Entry{Endpoint: n.Endpoint(), Address: at, Zone: a.Zone, Pack: a.Pack, Weight: max(a.Weight, 1e-3), Mode: mode}
+	if a.Weight == 0 {
+		e.Weight = 1
+	}
+	if s := n.Started(); !s.IsZero() {
+		e.Started = s.UnixMilli()
+	}
+	return e, nil
+}
+
+// way is how long a piece takes between two zones.
+func (f *fleet) way(a, b int, extra files.Duration, seed uint64) link.Way {
+	base := f.day.Net.Same.Span()
+	if a != b {
+		base = f.day.Net.Cross.Span()
+	}
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(f.day.Seed, seed))
+	return func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		// Lateness is drawn up to two and a half times its mean, which the start facts state as the longest way.
+		late := min(rng.ExpFloat64(), 2.5) * float64(extra)
+		return time.Duration(float64(base)*(0.8+0.4*rng.Float64()) + late)
+	}
+}
+
+func (f *fleet) startPilots() error {
+	d := f.day
+	for i := range d.Fleet.Pilots {
+		zone := i % len(d.Service.Zones)
+		at := &pilotAt{zone: zone}
+		var err error
+		at.list, err = link.Open(fmt.Sprintf("list %d", i), f.list.Address(), f.tap,
+			f.way(zone, zone, 0, uint64(100+i)), f.way(zone, zone, 0, uint64(200+i)))
+		if err != nil {
+			return err
+		}
+		f.pilots = append(f.pilots, at)
+		at.file = &files.Pilot{Kind: "pilot", Name: fmt.Sprintf("pilot-%d", i), Zone: d.Service.Zones[zone], Instance: i,
+			Instances: d.Fleet.Pilots, Proxies: d.Fleet.Proxies, Listen: "127.0.0.1:0", Roster: at.list.Address(),
+			Cache: filepath.Join(f.dir, fmt.Sprintf("list-%d.json", i)), Seed: d.Seed*100 + uint64(i) + 1,
+			Service: d.Service, Limits: d.Limits, Channel: d.Channel, Silent: files.Duration(3 * time.Second)}
+		if at.p, err = pilot.New(at.file, f.log); err != nil {
+			return err
+		}
+		if err := at.p.Start(); err != nil {
+			return err
+		}
+		at.file.Listen = at.p.Address() // a pilot that comes back does so at its address
+	}
+	return nil
+}
+
+func (f *fleet) startProxies() error {
+	d := f.day
+	f.drawShares()
+	perSecond := f.perSecond()
+	for i := range d.Fleet.Proxies {
+		zone := i % len(d.Service.Zones)
+		at := &proxyAt{zone: zone, seeds: d.Seed}
+		f.proxies = append(f.proxies, at)
+		at.file = &files.Proxy{Kind: "proxy", ID: uint16(i), Zone: d.Service.Zones[zone], Listen: "127.0.0.1:0",
+			Rate: f.shares[i] * perSecond, Service: d.Service, Redial: files.Duration(400 * time.Millisecond),
+			Silent: files.Duration(4 * time.Second)}
+		for j, p := range f.pilots {
+			l, err := link.Open(fmt.Sprintf("stream %d %d", i, j), p.p.Address(), f.tap,
+				f.way(zone, p.zone, d.Net.Hears, uint64(1000+i*100+j)), f.way(zone, p.zone, d.Net.Push, uint64(500000+i*100+j)))
+			if err != nil {
+				return err
+			}
+			p.links = append(p.links, l)
+			at.file.Pilots = append(at.file.Pilots, files.PilotAddress{Address: l.Address(), Zone: p.file.Zone})
+		}
+		if err := f.startProxy(at); err != nil {
+			return err
+		}
+		at.file.Listen = at.p.Address()
+		at.address = at.p.Address()
+	}
+	return nil
+}
+
+// startProxy starts a proxy with the list as it stands now.
+func (f *fleet) startProxy(at *proxyAt) error {
+	file := *at.file
+	for _, e := range f.list.Entries() {
+		if e.Mode == "ready" {
+			file.Servers = append(file.Servers, files.StandingServer{Endpoint: uint32(e.Endpoint),
+				Address: e.Address.String(), Zone: e.Zone, Pack: e.Pack, Weight: e.Weight})
+		}
+	}
+	at.seeds++
+	file.Seed = at.seeds*1000 + uint64(file.ID) + 1
+	p, err := proxy.New(&file, f.log)
+	if err != nil {
+		return err
+	}
+	p.ApplyFor = func(m *runtime.Message) time.Duration { return time.Duration(m.Lines) * 40 * time.Microsecond }
+	if f.wrap != nil {
+		f.wrap(&file, p)
+	}
+	if err := p.Start(); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	at.p = p
+	f.mu.Unlock()
+	return nil
+}
+
+// drawShares draws each proxy's share of the traffic: few carry much, by the day's spread.
+func (f *fleet) drawShares() {
+	d := f.day
+	v := math.Log(1 + d.Load.Spread*d.Load.Spread)
+	zones := make([]float64, len(d.Service.Zones))
+	for i := range d.Fleet.Proxies {
+		x := math.Exp(math.Sqrt(v) * f.rng.NormFloat64())
+		f.shares = append(f.shares, x)
+		zones[i%len(zones)] += x
+	}
+	total := 0.0
+	for i := range f.shares {
+		z := i % len(zones)
+		part := 1 / float64(len(zones))
+		if len(d.Load.ZoneShare) > 0 {
+			part = d.Load.ZoneShare[z]
+		}
+		f.shares[i] *= part / zones[z]
+		total += f.shares[i]
+	}
+	for i := range f.shares {
+		f.shares[i] /= total
+	}
+}
+
+// perSecond is the mean rate of ops.
+func (f *fleet) perSecond() float64 {
+	if f.day.Load.PerSecond > 0 {
+		return f.day.Load.PerSecond
+	}
+	power := 0.0
+	for _, n := range f.nodes {
+		power += n.Power()
+	}
+	return f.day.Load.OfCapacity * power / meanWork(&f.day.Load).Seconds()
+}
+
+// shareAt is each proxy's share of the traffic at a time.
+func (f *fleet) shareAt(at time.Duration) []float64 {
+	out := append([]float64(nil), f.shares...)
+	for _, h := range append(append([]hotSpell(nil), f.hot...), f.shifts...) {
+		if at < h.from || at > h.to || len(h.proxies) == 0 {
+			continue
+		}
+		size := h.size
+		if h.ramp > 0 {
+			size *= min(1, float64(at-h.from)/float64(h.ramp), float64(h.to-at)/float64(h.ramp))
+		}
+		for i := range out {
+			out[i] *= 1 - size
+		}
+		total := 0.0
+		for _, i := range h.proxies {
+			total += f.shares[i]
+		}
+		for _, i := range h.proxies {
+			out[i] += size * f.shares[i] / max(total, 1e-9)
+		}
+	}
+	return out
+}
+
+// tell has the list show a node so, after a while.
+func (f *fleet) tell(after time.Duration, n *node.Node, mode string) {
+	f.later(after, func() {
+		if e, err := f.entry(n, mode); err == nil {
+			f.list.Set(e)
+		}
+	})
+}
+
+// later runs g after a while, unless the day has ended.
+func (f *fleet) later(after time.Duration, g func()) {
+	f.timers.Add(1)
+	go func() {
+		defer f.timers.Done()
+		t := time.NewTimer(after)
+		defer t.Stop()
+		select {
+		case <-t.C:
+			g()
+		case <-f.stop:
+		}
+	}()
+}
+
+// close ends everything. Proxies end in order, so that nothing that was acked is lost.
+func (f *fleet) close() {
+	close(f.stop)
+	f.timers.Wait()
+	var all sync.WaitGroup
+	for _, at := range f.proxies {
+		if at.p != nil {
+			f.handshakes += int(at.p.Opened())
+			all.Go(at.p.Kill)
+		}
+	}
+	all.Wait()
+	for _, at := range f.pilots {
+		if at.p != nil {
+			at.p.Stop()
+		}
+	}
+	for _, at := range f.pilots {
+		for _, l := range at.links {
+			all.Go(l.Close)
+		}
+		if at.list != nil {
+			all.Go(at.list.Close)
+		}
+	}
+	if f.list != nil {
+		f.list.Close()
+	}
+	for _, n := range append(append([]*node.Node(nil), f.nodes...), f.spare...) {
+		all.Go(n.Stop)
+	}
+	all.Wait()
+	if f.dir != "" {
+		os.RemoveAll(f.dir)
+	}
+}
+
+// Tallies of the fleet for the account.
+func (f *fleet) nodeByID() map[control.EndpointID]*node.Node {
+	out := map[control.EndpointID]*node.Node{}
+	for _, n := range append(append([]*node.Node(nil), f.nodes...), f.spare...) {
+		out[n.Endpoint()] = n
+	}
+	return out
+}
--- /dev/null
+++ b/lab/load.go
@@ -0,0 +1,223 @@
+package lab
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"vetchdoor/control"
+	"vetchdoor/files"
+	"vetchdoor/http1"
+	"vetchdoor/lab/node"
+	"vetchdoor/upstream"
+)
+
+// op is one op as its client sees it.
+type op struct {
+	at      time.Duration // since the day's start, when it is due
+	number  uint64
+	opType  int
+	proxy   int
+	work    time.Duration
+	tries   int
+	ended   time.Duration
+	outcome outcome
+}
+
+type outcome byte
+
+const (
+	unended outcome = iota
+	opAcked
+	opRejected // refused, and surely not run
+	opAborted
+)
+
+// latency is how long its client waited.
+func (o *op) latency() time.Duration { return o.ended - o.at }
+
+// source of ops: open loop, drawn ahead from the day's seed.
+type source struct {
+	day     *files.Day
+	types   []control.OpType
+	ops     []*op
+	targets []string // proxies' addresses
+	pool    *upstream.Pool
+	behind  *hdrhistogram.Histogram // of the generator, microseconds
+	mu      sync.Mutex
+	rng     *rand.Rand // of clients, under mu
+	busy    sync.WaitGroup
+}
+
+// rateAt is the load at a time, as a share of its mean.
+func rateAt(d *files.Day, at time.Duration) float64 {
+	part := float64(at) / float64(d.Length)
+	return 1 + d.Load.Swing*math.Sin(2*math.Pi*part)
+}
+
+// drawOps draws a day's ops. weights are the proxies' shares, perSecond the mean rate; hot changes the share of a proxy
+// over time and shift that of a zone.
+func drawOps(d *files.Day, perSecond float64, share func(at time.Duration) []float64) []*op {
+	rng := rand.New(rand.NewPCG(d.Seed, 1))
+	most := perSecond * (1 + d.Load.Swing)
+	total := 0.0
+	for _, w := range d.Load.Works {
+		total += w.Share
+	}
+	place := map[string]int{}
+	for i, t := range d.Service.OpTypes {
+		place[t.Name] = i
+	}
+	var ops []*op
+	var cumulated []float64
+	until := time.Duration(-1)
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() / most * float64(time.Second))
+		if at >= d.Length.Span() {
+			return ops
+		}
+		if rng.Float64()*most > perSecond*rateAt(d, at) {
+			continue
+		}
+		if at > until { // shares are looked at anew every tenth of a second
+			until = at + 100*time.Millisecond
+			cumulated = cumulated[:0]
+			sum := 0.0
+			for _, s := range share(at) {
+				sum += s
+				cumulated = append(cumulated, sum)
+			}
+		}
+		o := &op{at: at, number: uint64(len(ops) + 1)}
+		o.proxy = min(sort.SearchFloat64s(cumulated, rng.Float64()*cumulated[len(cumulated)-1]), len(cumulated)-1)
+		x := rng.Float64() * total
+		for _, w := range d.Load.Works {
+			if x -= w.Share; x < 0 || w == d.Load.Works[len(d.Load.Works)-1] {
+				o.opType, o.work = place[w.OpType], drawWork(rng, w)
+				break
+			}
+		}
+		ops = append(ops, o)
+	}
+}
+
+func drawWork(rng *rand.Rand, w files.Work) time.Duration {
+	x := rng.ExpFloat64()
+	if w.CV > 0 {
+		v := math.Log(1 + w.CV*w.CV)
+		x = math.Exp(math.Sqrt(v)*rng.NormFloat64() - v/2)
+	}
+	return time.Duration(min(x, 20) * float64(w.Mean))
+}
+
+// meanWork is the mean work of an op.
+func meanWork(l *files.Load) time.Duration {
+	sum, total := 0.0, 0.0
+	for _, w := range l.Works {
+		sum += w.Share * float64(w.Mean)
+		total += w.Share
+	}
+	return time.Duration(sum / total)
+}
+
+// play sends each op when it is due and returns when all have ended. stop, once closed, ends it early.
+func (s *source) play(from time.Time, stop <-chan struct{}) {
+	s.behind = hdrhistogram.New(1, 60_000_000, 3)
+	for _, o := range s.ops {
+		if wait := time.Until(from.Add(o.at)); wait > 0 {
+			select {
+			case <-stop:
+				s.busy.Wait()
+				return
+			case <-time.After(wait):
+			}
+		}
+		_ = s.behind.RecordValue(max(1, (time.Since(from) - o.at).Microseconds()))
+		s.busy.Add(1)
+		go func() {
+			defer s.busy.Done()
+			s.client(from, o)
+		}()
+	}
+	s.busy.Wait()
+}
+
+// client is the one who asked for an op: it waits, gives up, tries again where that is safe.
+func (s *source) client(from time.Time, o *op) {
+	t := &s.types[o.opType]
+	c := &s.day.Clients
+	deadline := from.Add(o.at + t.OpTimeout)
+	share := c.TryShare
+	if share <= 0 || share > 1 {
+		share = 1
+	}
+	first := time.Now()
+	for {
+		until := time.Now().Add(time.Duration(share * float64(t.OpTimeout)))
+		if until.After(deadline) {
+			until = deadline
+		}
+		req := s.request(o)
+		o.tries++
+		a, fail := s.pool.Send(&upstream.Call{}, s.targets[o.proxy], req, until, false)
+		o.outcome = opAborted
+		refused, wait := false, c.Backoff.Span()
+		if fail == nil {
+			switch {
+			case a.Status < 300:
+				o.outcome = opAcked
+			case a.Status == 503:
+				o.outcome, refused = opRejected, true
+				if after, err := strconv.Atoi(string(a.Get("Retry-After"))); err == nil && s.chance() < c.Honour {
+					wait = max(wait, time.Duration(after)*time.Second)
+				}
+			}
+			a.Release()
+		} else if fail.Unrun {
+			refused = true
+		}
+		o.ended = time.Since(from)
+		safe := refused || t.Repeat == control.Retryable ||
+			t.Repeat == control.Deduplicated && time.Since(first) < t.DedupWindow
+		if o.outcome == opAcked || !safe || o.tries > c.Retries || time.Now().Add(wait).After(deadline) {
+			return
+		}
+		time.Sleep(wait)
+	}
+}
+
+func (s *source) chance() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Float64()
+}
+
+// request writes a try of an op; the first rule of its type's match is met.
+func (s *source) request(o *op) []byte {
+	m := s.day.Service.OpTypes[o.opType].Match
+	method, path := "GET", "/"
+	if m.Method != "" {
+		method = m.Method
+	}
+	if m.PathPrefix != "" {
+		path = m.PathPrefix
+	}
+	b := http1.AppendRequest(nil, []byte(method), []byte(path))
+	b = http1.AppendField(b, "Host", "results.example")
+	if m.Header != "" {
+		b = append(append(b, m.Header...), "\r\n"...)
+	}
+	b = http1.AppendField(b, node.OpField, strconv.FormatUint(o.number, 10))
+	b = http1.AppendField(b, node.TryField, strconv.Itoa(o.tries))
+	b = http1.AppendField(b, node.TypeField, strconv.Itoa(o.opType))
+	b = http1.AppendField(b, node.WorkField, strconv.FormatInt(o.work.Microseconds(), 10))
+	if s.types[o.opType].Repeat == control.Deduplicated {
+		b = http1.AppendField(b, "Idempotency-Key", "op-"+strconv.FormatUint(o.number, 10))
+	}
+	return http1.AppendBody(b, nil)
+}
--- /dev/null
+++ b/pilot/admin.go
@@ -0,0 +1,103 @@
+package pilot
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"vetchdoor/control"
+	"vetchdoor/runtime"
+	sessions "vetchdoor/session"
+)
+
+func (p *Pilot) commands() []sessions.Command {
+	inLoop := func(f func(io.Writer)) func(io.Writer, runtime.Command) error {
+		return func(w io.Writer, _ runtime.Command) error {
+			done := make(chan struct{})
+			if !p.post(func() { f(w); close(done) }) {
+				return fmt.Errorf("the pilot has ended")
+			}
+			select {
+			case <-done:
+			case <-p.stopped:
+			}
+			return nil
+		}
+	}
+	return []sessions.Command{
+		{Words: "show info", Help: "what this pilot is and has done", Do: inLoop(p.showInfo)},
+		{Words: "show stat", Help: "each server of each table, as CSV", Do: inLoop(p.showStat)},
+		{Words: "show servers state", Help: "the list of servers as this pilot has it", Do: inLoop(p.showServers)},
+		{Words: "show proxies", Help: "joined proxies, their tables, what they have not confirmed", Do: inLoop(p.showProxies)},
+		{Words: "show levels", Help: "how much of each op type is let in", Do: inLoop(p.showLevels)},
+	}
+}
+
+func (p *Pilot) showInfo(w io.Writer) {
+	away := 0
+	for _, s := range p.sessions {
+		if s.conn == nil {
+			away++
+		}
+	}
+	fmt.Fprintf(w, "Name: vetchdoor\nRole: pilot\nPilot: %s\nZone: %s\nRun: %d\nUptime_sec: %d\n", p.file.Name, p.file.Zone,
+		p.run, int(time.Since(p.born).Seconds()))
+	fmt.Fprintf(w, "List_version: %d\nServers: %d\nProxies: %d\nProxies_away: %d\nTables: %d\n", p.version,
+		len(p.sortedList()), len(p.sessions), away, len(p.book.tables))
+	fmt.Fprintf(w, "Batches: %d\nDeciding_ms: %d\nMessages: %d\nLines: %d\nLines_waiting: %d\nLines_waiting_peak: %d\n",
+		p.batches, p.deciding.Milliseconds(), p.messages, p.lines, p.channel.waiting, p.channel.peak)
+	fmt.Fprintf(w, "Resumed: %d\nRefused: %d\nOverflows: %d\nPanics: %d\n", p.resumed, p.refused, p.overflows, p.panics)
+}
+
+func (p *Pilot) showStat(w io.Writer) {
+	fmt.Fprintln(w, "# pxname,svname,status,weight,addr,")
+	for _, id := range slices.Sorted(maps.Keys(p.book.tables)) {
+		t := p.book.tables[id]
+		for _, e := range slices.Sorted(maps.Keys(t.lines)) {
+			status := "UP"
+			if p.book.out[e] {
+				status = "DRAIN"
+			}
+			at, _ := p.where(e)
+			fmt.Fprintf(w, "t%d,e%d,%s,%g,%s,\n", id, e, status, t.lines[e], at.Address)
+		}
+	}
+}
+
+func (p *Pilot) showServers(w io.Writer) {
+	fmt.Fprintln(w, "1\n# srv_name srv_addr srv_port srv_uweight srv_mode srv_zone srv_pack withdrawn")
+	for _, e := range p.sortedList() {
+		fmt.Fprintf(w, "e%d %s %d %g %s %s %d %t\n", e.Endpoint, e.Address.Addr(), e.Address.Port(), e.Weight, e.Mode,
+			e.Zone, e.Pack, p.book.out[e.Endpoint])
+	}
+}
+
+func (p *Pilot) showProxies(w io.Writer) {
+	fmt.Fprintln(w, "# proxy,zone,rate,state,tables,unconfirmed,")
+	for _, id := range slices.Sorted(maps.Keys(p.sessions)) {
+		s, state, tables := p.sessions[id], "joined", ""
+		if s.conn == nil {
+			state = "away"
+		}
+		for _, t := range p.book.proxies[id].bound {
+			if t == nil {
+				tables += " standing"
+			} else {
+				tables += fmt.Sprintf(" t%d", t.id)
+			}
+		}
+		fmt.Fprintf(w, "%d,%s,%g,%s,%s,%d,\n", id, p.file.Service.Zones[s.zone], s.rate, state, tables[1:], s.unconfirmed)
+	}
+}
+
+func (p *Pilot) showLevels(w io.Writer) {
+	for i, t := range p.file.Service.OpTypes {
+		l, ok := p.book.all[i]
+		if !ok {
+			l = runtime.Change{Level: 1, Again: control.Never}
+		}
+		fmt.Fprintf(w, "%d %s %g\n", i, t.Name, l.Level)
+	}
+}
--- /dev/null
+++ b/pilot/book.go
@@ -0,0 +1,294 @@
+package pilot
+
+import (
+	"maps"
+	"slices"
+
+	"vetchdoor/control"
+	"vetchdoor/runtime"
+)
+
+// book is what the module has ordered so far: the tables, who is on which, what is withdrawn. It turns the orders of one
+// reply into one message for each proxy concerned. It is free of I/O and decides nothing.
+type book struct {
+	where   func(control.EndpointID) (runtime.Server, bool)
+	types   int
+	head    int // lines that a message costs beyond its own
+	tables  map[control.TableID]*sheet
+	all     map[int]runtime.Change // levels for all tables, by op type
+	out     map[control.EndpointID]bool
+	proxies map[control.ProxyID]*holder
+}
+
+// sheet is one table as ordered.
+type sheet struct {
+	id     control.TableID
+	lines  map[control.EndpointID]float64
+	levels map[int]runtime.Change
+}
+
+// holder is a joined proxy.
+type holder struct {
+	id       control.ProxyID
+	standing map[control.EndpointID]bool
+	older    bool     // it holds tables of an earlier stream, whose lines are not known here
+	bound    []*sheet // by op type; nil: its standing table, or what an earlier run gave it
+	told     map[control.EndpointID]bool
+	levelled bool // it has been sent the levels for all
+	cleared  bool // withdrawals of earlier runs are cleared
+	next     uint64
+	changes  []runtime.Change // of the message being written
+}
+
+func newBook(types, head int, where func(control.EndpointID) (runtime.Server, bool)) *book {
+	return &book{where: where, types: types, head: head, tables: map[control.TableID]*sheet{},
+		all: map[int]runtime.Change{}, out: map[control.EndpointID]bool{}, proxies: map[control.ProxyID]*holder{}}
+}
+
+// join adds a proxy that is bound to nothing; number is that of the last message that this run sent it.
+func (b *book) join(id control.ProxyID, standing []control.EndpointID, older bool, number uint64) {
+	h := &holder{id: id, older: older, standing: map[control.EndpointID]bool{}, bound: make([]*sheet, b.types),
+		told: map[control.EndpointID]bool{}, next: number + 1}
+	for _, e := range standing {
+		h.standing[e] = true
+	}
+	b.proxies[id] = h
+}
+
+// leave drops a proxy and returns the number of the last message sent to it.
+func (b *book) leave(id control.ProxyID) uint64 {
+	h := b.proxies[id]
+	delete(b.proxies, id)
+	if h == nil {
+		return 0
+	}
+	return h.next - 1
+}
+
+// sorted returns the joined proxies by id.
+func (b *book) sorted() []*holder {
+	out := make([]*holder, 0, len(b.proxies))
+	for _, id := range slices.Sorted(maps.Keys(b.proxies)) {
+		out = append(out, b.proxies[id])
+	}
+	return out
+}
+
+func (b *book) sheet(id control.TableID) *sheet {
+	t := b.tables[id]
+	if t == nil {
+		t = &sheet{id: id, lines: map[control.EndpointID]float64{}, levels: map[int]runtime.Change{}}
+		b.tables[id] = t
+	}
+	return t
+}
+
+// holds tells whether a proxy may send to an endpoint by the tables that it is on.
+func (h *holder) holds(e control.EndpointID) bool {
+	for _, t := range h.bound {
+		if t == nil && (h.older || h.standing[e]) || t != nil && t.lines[e] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *holder) on(t *sheet) bool { return slices.Contains(h.bound, t) }
+
+func (h *holder) add(c runtime.Change) { h.changes = append(h.changes, c) }
+
+// outgoing is a message for one proxy.
+type outgoing struct {
+	proxy control.ProxyID
+	*runtime.Message
+}
+
+// write carries out the orders of one reply that concern proxies and returns the messages, by proxy, and the orders
+// that are for others.
+func (b *book) write(orders []control.Order) (messages []outgoing, rest []control.Order) {
+	checkpoint, everyone := -1, false
+	joined := b.sorted()
+	for _, o := range orders {
+		switch o := o.(type) {
+		case control.PutLine:
+			b.put(o, joined)
+		case control.Blank:
+			t := b.sheet(o.Table)
+			clear(t.lines)
+			clear(t.levels)
+			b.toUsers(t, joined, runtime.Change{Verb: runtime.ClearTable, Table: o.Table})
+		case control.Bind:
+			if h := b.proxies[o.Proxy]; h != nil {
+				b.bind(h, o)
+			}
+		case control.SetLevel:
+			b.level(o, joined)
+		case control.Suspend:
+			b.out[o.Endpoint] = o.Out
+			if !o.Out {
+				delete(b.out, o.Endpoint)
+			}
+			for _, h := range joined {
+				if o.Out && h.holds(o.Endpoint) || !o.Out && h.told[o.Endpoint] {
+					b.tell(h, o.Endpoint)
+				}
+			}
+		case control.Checkpoint:
+			checkpoint, everyone = o.Number, everyone || o.All
+		default:
+			rest = append(rest, o)
+		}
+	}
+	for _, h := range joined {
+		if len(h.changes) > 0 || everyone && checkpoint >= 0 {
+			messages = append(messages, b.finish(h, checkpoint))
+		}
+	}
+	return messages, rest
+}
+
+// finish takes what is written for a proxy as a message.
+func (b *book) finish(h *holder, checkpoint int) outgoing {
+	if !h.levelled {
+		h.levelled = true
+		for _, i := range slices.Sorted(maps.Keys(b.all)) {
+			h.add(b.all[i])
+		}
+	}
+	m := &runtime.Message{Number: h.next, Checkpoint: checkpoint, Changes: h.changes, Lines: b.head + len(h.changes)}
+	if checkpoint >= 0 {
+		m.Lines++
+	}
+	h.next, h.changes = h.next+1, nil
+	return outgoing{h.id, m}
+}
+
+func (b *book) toUsers(t *sheet, joined []*holder, c runtime.Change) {
+	for _, h := range joined {
+		if h.on(t) {
+			h.add(c)
+		}
+	}
+}
+
+// tell writes a proxy whether an endpoint is withdrawn, if it was told otherwise.
+func (b *book) tell(h *holder, e control.EndpointID) {
+	if out := b.out[e]; h.told[e] != out {
+		h.add(runtime.Change{Verb: runtime.SetState, Endpoint: e, Out: out})
+		if h.told[e] = out; !out {
+			delete(h.told, e)
+		}
+	}
+}
+
+func (b *book) put(o control.PutLine, joined []*holder) {
+	t := b.sheet(o.Table)
+	before := t.lines[o.Endpoint]
+	c := runtime.Change{Verb: runtime.SetWeight, Table: o.Table, Endpoint: o.Endpoint, Weight: o.Weight}
+	switch {
+	case !(o.Weight > 0):
+		if delete(t.lines, o.Endpoint); before == 0 {
+			return
+		}
+		c.Verb, c.Weight = runtime.DelServer, 0
+	case before == 0:
+		at, ok := b.where(o.Endpoint)
+		if !ok {
+			return
+		}
+		c.Verb, c.Server = runtime.AddServer, at
+		t.lines[o.Endpoint] = o.Weight
+	default:
+		t.lines[o.Endpoint] = o.Weight
+	}
+	for _, h := range joined {
+		if h.on(t) {
+			if c.Verb == runtime.AddServer {
+				b.tell(h, o.Endpoint) // first: it never holds a withdrawn endpoint open
+			}
+			h.add(c)
+		}
+	}
+}
+
+// bind writes a proxy a whole table and puts op types on it.
+func (b *book) bind(h *holder, o control.Bind) {
+	t := b.sheet(o.Table)
+	if !h.cleared {
+		h.cleared = true
+		h.add(runtime.Change{Verb: runtime.ClearState})
+		clear(h.told)
+		for _, e := range slices.Sorted(maps.Keys(b.out)) {
+			if h.holds(e) {
+				b.tell(h, e)
+			}
+		}
+	}
+	if !h.on(t) {
+		h.add(runtime.Change{Verb: runtime.ClearTable, Table: t.id})
+		for _, e := range slices.Sorted(maps.Keys(t.lines)) {
+			at, ok := b.where(e)
+			if !ok {
+				continue
+			}
+			b.tell(h, e)
+			h.add(runtime.Change{Verb: runtime.AddServer, Table: t.id, Endpoint: e, Server: at, Weight: t.lines[e]})
+		}
+		for _, i := range slices.Sorted(maps.Keys(t.levels)) {
+			h.add(t.levels[i])
+		}
+	}
+	for i := range h.bound {
+		if o.OpTypes == 0 || o.OpTypes&(1<<i) != 0 {
+			h.bound[i] = t
+		}
+	}
+	h.add(runtime.Change{Verb: runtime.SetMap, Table: t.id, OpTypes: o.OpTypes})
+}
+
+func (b *book) level(o control.SetLevel, joined []*holder) {
+	c := runtime.Change{Verb: runtime.SetLevel, Table: o.Table, OpTypes: o.OpTypes, Level: o.Level, Again: o.Again}
+	levels := b.all
+	var t *sheet
+	if o.Table != control.Everywhere {
+		t = b.sheet(o.Table)
+		levels = t.levels
+	}
+	for i := range b.types {
+		if o.OpTypes == 0 || o.OpTypes&(1<<i) != 0 {
+			one := c
+			one.OpTypes = 1 << i
+			levels[i] = one
+		}
+	}
+	for _, h := range joined {
+		if t != nil && h.on(t) || t == nil && h.levelled {
+			h.add(c)
+		} else if t == nil {
+			h.levelled = true
+			for _, i := range slices.Sorted(maps.Keys(b.all)) {
+				h.add(b.all[i])
+			}
+		}
+	}
+}
+
+// moved writes an endpoint's new place to all who hold it in a table.
+func (b *book) moved(e control.EndpointID) (messages []outgoing) {
+	at, ok := b.where(e)
+	if !ok {
+		return nil
+	}
+	joined := b.sorted()
+	for _, id := range slices.Sorted(maps.Keys(b.tables)) {
+		if t := b.tables[id]; t.lines[e] > 0 {
+			b.toUsers(t, joined, runtime.Change{Verb: runtime.AddServer, Table: id, Endpoint: e, Server: at, Weight: t.lines[e]})
+		}
+	}
+	for _, h := range joined {
+		if len(h.changes) > 0 {
+			messages = append(messages, b.finish(h, -1))
+		}
+	}
+	return messages
+}
--- /dev/null
+++ b/pilot/pilot.go
@@ -0,0 +1,429 @@
+// Package pilot is the daemon that hosts the decision module: it tells one policy.Assigner what happens and carries out
+// what that orders, and decides nothing itself. New and Start are the way in. One goroutine owns all state; sockets and
+// timers post to it.
+package pilot
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"vetchdoor/control"
+	"vetchdoor/files"
+	"vetchdoor/http1"
+	"vetchdoor/policy"
+	"vetchdoor/roster"
+	"vetchdoor/runtime"
+	sessions "vetchdoor/session"
+	"vetchdoor/stream"
+	"vetchdoor/upstream"
+)
+
+// decider is the module's one entry point; tests put another in its place.
+type decider interface {
+	Decide(now time.Duration, events []control.Event) []control.Order
+}
+
+// Pilot is a running pilot.
+type Pilot struct {
+	file  *files.Pilot
+	log   *slog.Logger
+	facts control.Facts
+	born  time.Time
+	seed  uint64
+
+	inbox   chan func()
+	stop    chan struct{}
+	stopped chan struct{}
+	ending  sync.Once
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	ln      *stream.Listener
+	admin   *sessions.Listener
+	probes  *upstream.Pool
+	probing atomic.Int64
+
+	// What follows is the loop's own.
+	newDecider   func() decider
+	assigner     decider
+	run          uint64
+	book         *book
+	channel      *channel
+	intake       *intake
+	events       []control.Event
+	batch        *time.Timer // set while events wait for their tick
+	pace         *time.Timer // set while a message waits for its time
+	sessions     map[control.ProxyID]*session
+	wires        map[*wire]bool
+	numbers      map[control.ProxyID]uint64 // last message of this run, of proxies that left
+	list         map[control.EndpointID]roster.Entry
+	version      uint64
+	source       *roster.Client
+	saver        *saver
+	silent       time.Duration
+	resumeWithin time.Duration
+	batches      uint64
+	messages     uint64
+	lines        uint64
+	resumed      uint64
+	refused      uint64
+	overflows    uint64
+	panics       uint64
+	deciding     time.Duration
+}
+
+// New makes a pilot from its file.
+func New(file *files.Pilot, log *slog.Logger) (*Pilot, error) {
+	p := &Pilot{file: file, log: log.With("pilot", file.Name), facts: file.Facts(), born: time.Now(), seed: file.Seed,
+		inbox: make(chan func(), 1024), stop: make(chan struct{}), stopped: make(chan struct{}),
+		newDecider: func() decider { return &policy.Assigner{} },
+		list:       map[control.EndpointID]roster.Entry{}, wires: map[*wire]bool{},
+		silent: file.Silent.Span(), resumeWithin: file.Resume.Span(), probes: &upstream.Pool{}}
+	if p.seed == 0 {
+		p.seed = rand.Uint64()
+	}
+	if p.facts.Tick <= 0 {
+		p.facts.Tick = 5 * time.Millisecond
+	}
+	if p.silent <= 0 {
+		p.silent = 10 * time.Second
+	}
+	if p.resumeWithin <= 0 {
+		p.resumeWithin = 2 * time.Second
+	}
+	p.run = uint64(p.born.UnixMicro())
+	return p, nil
+}
+
+// Start reads the cached list, listens for proxies and people, and follows the list service.
+func (p *Pilot) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	rng := rand.New(rand.NewPCG(p.seed, uint64(p.file.Instance)))
+	p.source = &roster.Client{Address: p.file.Roster, Log: p.log, Rand: rng,
+		Take: func(u *roster.Update) { p.post(func() { p.listed(u) }) }}
+	if p.file.Cache != "" {
+		version, entries, err := roster.Load(p.file.Cache)
+		if err != nil {
+			p.log.Warn("the cached list cannot be used", "error", err)
+		}
+		for _, e := range entries {
+			p.list[e.Endpoint] = e
+		}
+		p.version = version
+		p.saver = newSaver(p.file.Cache, p.log)
+	}
+	p.fresh()
+	var err error
+	if p.ln, err = stream.Listen(p.file.Listen, p.accept); err != nil {
+		cancel()
+		return err
+	}
+	if p.file.Admin != "" {
+		if p.admin, err = sessions.Listen(p.file.Admin, "vetchdoor pilot", p.commands()); err != nil {
+			cancel()
+			p.ln.Close()
+			return err
+		}
+	}
+	p.done.Add(1)
+	go func() { defer p.done.Done(); p.source.Run(ctx) }()
+	go p.loop()
+	p.log.Info("pilot runs", "listen", p.ln.Address(), "run", p.run, "list", len(p.list))
+	return nil
+}
+
+// Address is where proxies dial.
+func (p *Pilot) Address() string { return p.ln.Address() }
+
+// AdminAddress is where people are served; empty without one.
+func (p *Pilot) AdminAddress() string {
+	if p.admin == nil {
+		return ""
+	}
+	return p.admin.Address()
+}
+
+// Stop ends the pilot in order: no new proxies, streams closed once what left the channel is written.
+func (p *Pilot) Stop() {
+	p.ending.Do(func() {
+		p.cancel()
+		ended := make(chan struct{})
+		if p.post(func() {
+			for w := range p.wires {
+				w.conn.End()
+			}
+			close(ended)
+		}) {
+			<-ended
+			time.Sleep(20 * time.Millisecond)
+		}
+		p.end()
+		p.log.Info("pilot ended")
+	})
+}
+
+// Kill ends the pilot as a killed process would: nothing is said, nothing written.
+func (p *Pilot) Kill() {
+	p.ending.Do(func() {
+		p.cancel()
+		p.end()
+	})
+}
+
+func (p *Pilot) end() {
+	close(p.stop)
+	<-p.stopped
+	p.ln.Close()
+	if p.admin != nil {
+		p.admin.Close()
+	}
+	p.done.Wait()
+	p.probes.Close()
+	if p.saver != nil {
+		p.saver.close()
+	}
+}
+
+// post has the loop run f; false if the pilot has ended.
+func (p *Pilot) post(f func()) bool {
+	select {
+	case <-p.stop:
+		return false
+	default:
+	}
+	select {
+	case p.inbox <- f:
+		return true
+	case <-p.stop:
+		return false
+	}
+}
+
+func (p *Pilot) loop() {
+	defer close(p.stopped)
+	report := time.NewTicker(p.facts.ReportEvery)
+	defer report.Stop()
+	watch := time.NewTicker(min(p.silent/4, time.Second))
+	defer watch.Stop()
+	p.batch, p.pace = time.NewTimer(time.Hour), time.NewTimer(time.Hour)
+	p.decide()
+	for {
+		select {
+		case <-p.stop:
+			return
+		case f := <-p.inbox:
+			f()
+		case <-p.batch.C:
+			p.decide()
+		case <-p.pace.C:
+			p.pump()
+		case <-report.C:
+			for _, e := range p.intake.take(p.facts.ReportEvery) {
+				p.event(e)
+			}
+		case <-watch.C:
+			p.watch()
+		}
+	}
+}
+
+// now is the time since this pilot's start, which is all that the module knows.
+func (p *Pilot) now() time.Duration { return time.Since(p.born) }
+
+// event keeps an event for the batch at the next tick.
+func (p *Pilot) event(e control.Event) {
+	if p.events = append(p.events, e); len(p.events) == 1 && p.batch != nil {
+		p.batch.Reset(p.facts.Tick)
+	}
+}
+
+// fresh starts the module anew, with the list as it is known and nothing else.
+func (p *Pilot) fresh() {
+	p.assigner = p.newDecider()
+	p.book = newBook(len(p.facts.OpTypes), int(p.facts.MessageLines), p.where)
+	p.channel = newChannel(p.facts.LinesPerSecond, p.facts.MostWaiting)
+	p.intake = newIntake(p.facts.ReportLinesPerS, len(p.facts.Measures))
+	p.sessions, p.numbers = map[control.ProxyID]*session{}, map[control.ProxyID]uint64{}
+	p.events = []control.Event{control.Start{Facts: p.facts, Seed: p.seed},
+		control.Listing{Kind: control.Cached, Entries: p.entries(p.sortedList())}}
+	p.seed++
+}
+
+// decide hands the module its batch and carries out what it orders.
+func (p *Pilot) decide() {
+	events := p.events
+	p.events = nil
+	if len(events) == 0 {
+		return
+	}
+	now := p.now()
+	orders, fault := p.ask(now, events)
+	p.deciding += p.now() - now
+	p.batches++
+	if fault != nil {
+		p.restart(fault, events)
+		return
+	}
+	messages, rest := p.book.write(orders)
+	p.queue(now, messages)
+	for _, o := range rest {
+		p.do(o)
+	}
+	p.pump()
+}
+
+// ask runs the module; a panic in it becomes a fault.
+func (p *Pilot) ask(now time.Duration, events []control.Event) (orders []control.Order, fault any) {
+	defer func() {
+		if fault = recover(); fault != nil {
+			p.log.Error("the module panicked", "panic", fmt.Sprint(fault), "now", now, "events", describe(events),
+				"stack", string(debug.Stack()))
+		}
+	}()
+	return p.assigner.Decide(now, events), nil
+}
+
+// describe writes events for the log, the first of them whole.
+func describe(events []control.Event) string {
+	const most = 4096
+	s := ""
+	for i, e := range events {
+		if len(s) > most {
+			return fmt.Sprintf("%s; and %d more", s[:most], len(events)-i)
+		}
+		s += fmt.Sprintf("%T%+v; ", e, e)
+	}
+	return s
+}
+
+// restart goes on after a panic as a new run: the streams are closed, the proxies keep their tables and join again.
+func (p *Pilot) restart(fault any, events []control.Event) {
+	p.panics++
+	p.run++
+	for w := range p.wires {
+		w.conn.Close()
+		delete(p.wires, w)
+	}
+	p.fresh()
+	p.batch.Reset(p.facts.Tick)
+}
+
+// queue gives messages to the channel. One that has no room there would be lost in the midst of its proxy's others, so
+// that proxy's session ends instead and it joins anew.
+func (p *Pilot) queue(now time.Duration, messages []outgoing) {
+	for _, m := range messages {
+		s := p.sessions[m.proxy]
+		if s == nil {
+			continue
+		}
+		m.Pilot, m.Run, m.At = p.file.Name, p.run, now
+		if !p.channel.push(m) {
+			p.overflows++
+			p.log.Error("the channel is full; a proxy joins anew", "proxy", s.id, "lines", m.Lines, "waiting", p.channel.waiting)
+			p.drop(s)
+		}
+	}
+}
+
+// pump sends what the channel lets out now.
+func (p *Pilot) pump() {
+	for {
+		m, ok, wait := p.channel.next(p.now(), func(id control.ProxyID, lines int) bool {
+			s := p.sessions[id]
+			return s != nil && s.conn != nil && (s.unconfirmed == 0 || s.unconfirmed+lines <= s.window)
+		})
+		if !ok {
+			if wait >= 0 {
+				p.pace.Reset(max(wait, 100*time.Microsecond))
+			}
+			return
+		}
+		s := p.sessions[m.proxy]
+		s.sent = append(s.sent, m)
+		s.unconfirmed += m.Lines
+		p.messages++
+		p.lines += uint64(m.Lines)
+		_ = s.conn.conn.Send(m.Append(nil))
+	}
+}
+
+// do carries out an order that is not for proxies.
+func (p *Pilot) do(o control.Order) {
+	switch o := o.(type) {
+	case control.Wake:
+		run := p.run
+		time.AfterFunc(o.After, func() {
+			p.post(func() {
+				if p.run == run {
+					p.event(control.Ring{Label: o.Label})
+				}
+			})
+		})
+	case control.Probe:
+		p.probe(o.Endpoint)
+	case control.FetchList:
+		p.source.Fetch()
+	case control.Note:
+		p.log.Info("note of the module", "text", o.Text)
+	case control.WatchList: // the list is always followed
+	default:
+		p.log.Warn("an order that this pilot has no way to carry out", "order", fmt.Sprintf("%T", o))
+	}
+}
+
+// mostProbes bounds the probes under way.
+const mostProbes = 64
+
+// probe asks an endpoint whether it is well.
+func (p *Pilot) probe(id control.EndpointID) {
+	e, ok := p.list[id]
+	if !ok || p.probing.Load() >= mostProbes {
+		p.event(control.Probed{Endpoint: id, Outcome: control.ProbeOther})
+		return
+	}
+	p.probing.Add(1)
+	go func() {
+		defer p.probing.Add(-1)
+		begin := time.Now()
+		req := http1.AppendBody([]byte("GET /probe HTTP/1.1\r\nHost: "+e.Address.String()+"\r\n"), nil)
+		a, fail := p.probes.Send(&upstream.Call{}, e.Address.String(), req, begin.Add(p.silent/4), false)
+		out := control.Probed{Endpoint: id, Took: time.Since(begin)}
+		switch {
+		case fail != nil && fail.Timeout:
+			out.Outcome = control.ProbeTimedOut
+		case fail != nil && fail.Unrun:
+			out.Outcome = control.ProbeUnreached
+		case fail != nil:
+			out.Outcome = control.ProbeBroken
+		case a.Status == 503:
+			out.Outcome = control.ProbeRejected
+		case a.Status >= 400:
+			out.Outcome = control.ProbeErrored
+		}
+		if a != nil {
+			if l := http1.ParseLoad(a.Get(http1.LoadHeader)); l != nil {
+				for _, name := range p.file.Service.Measures {
+					out.Load = append(out.Load, l[name])
+				}
+			}
+			a.Release()
+		}
+		p.post(func() { p.event(out) })
+	}()
+}
+
+// where tells what a proxy must know of an endpoint.
+func (p *Pilot) where(id control.EndpointID) (runtime.Server, bool) {
+	e, ok := p.list[id]
+	if !ok || e.Address == (netip.AddrPort{}) {
+		return runtime.Server{}, false
+	}
+	return runtime.Server{Address: e.Address, Zone: p.file.Service.ZoneIndex(e.Zone), Pack: e.Pack}, true
+}
--- /dev/null
+++ b/pilot/streams.go
@@ -0,0 +1,240 @@
+package pilot
+
+import (
+	"fmt"
+	"time"
+
+	"vetchdoor/control"
+	"vetchdoor/runtime"
+	"vetchdoor/stream"
+)
+
+// session is one proxy's standing with this run of the pilot. It outlives a break of its stream by a while, so that a
+// proxy that comes straight back goes on where it was.
+type session struct {
+	id          control.ProxyID
+	token       string
+	zone        int
+	rate        float64
+	window      int
+	conn        *wire // nil while away
+	awayFor     int   // counts breaks, so that an old timer knows itself for one
+	sent        []outgoing
+	unconfirmed int // lines of sent
+}
+
+// wire is one connection of a proxy, before and after its hello.
+type wire struct {
+	p      *Pilot
+	conn   *stream.Conn
+	blocks *runtime.Blocks
+	id     control.ProxyID
+	known  bool // it has said hello and was welcomed; set by the loop
+	opened time.Time
+	last   time.Time // set by the loop
+}
+
+// mostBlock bounds what a proxy may send as one block.
+const mostBlock = 8 << 20
+
+func (p *Pilot) accept(c *stream.Conn) stream.Handler {
+	w := &wire{p: p, conn: c, blocks: runtime.NewBlocks(mostBlock), opened: time.Now(), last: time.Now()}
+	if !p.post(func() { p.wires[w] = true }) {
+		return nil
+	}
+	return w
+}
+
+// Data parses what came and has the loop take it.
+func (w *wire) Data(c *stream.Conn, b []byte) {
+	w.blocks.Feed(b)
+	for {
+		lines, ok, err := w.blocks.Next()
+		if err == nil && !ok {
+			return
+		}
+		var block any
+		if err == nil {
+			block, err = runtime.ParseBlock(lines)
+		}
+		if err != nil {
+			w.p.log.Warn("a proxy sent what cannot be read; its stream is closed", "remote", c.Remote(), "error", err)
+			c.Close()
+			return
+		}
+		if !w.p.post(func() { w.p.take(w, block) }) {
+			c.Close()
+			return
+		}
+	}
+}
+
+// Closed has the loop take note.
+func (w *wire) Closed(*stream.Conn) { w.p.post(func() { w.p.broke(w) }) }
+
+// take takes a block in.
+func (p *Pilot) take(w *wire, block any) {
+	if !p.wires[w] {
+		return
+	}
+	w.last = time.Now()
+	if h, ok := block.(*runtime.Hello); ok {
+		if w.known {
+			p.reject(w, "a second hello on one stream")
+			return
+		}
+		p.hello(w, h)
+		return
+	}
+	if !w.known {
+		p.reject(w, "no hello")
+		return
+	}
+	s := p.sessions[w.id]
+	if s == nil || s.conn != w {
+		return
+	}
+	switch b := block.(type) {
+	case runtime.InForce:
+		p.inForce(s, b)
+	case runtime.Refused:
+		p.log.Warn("a proxy refused a message; it joins anew", "proxy", s.id, "number", b.Number, "reason", b.Reason)
+		p.refused++
+		p.drop(s)
+	case *runtime.Sums:
+		p.intake.add(p.now(), s.id, s.zone, b)
+	}
+}
+
+// reject closes a stream that did not keep to the rules.
+func (p *Pilot) reject(w *wire, why string) {
+	p.log.Warn("stream refused", "remote", w.conn.Remote(), "reason", why)
+	delete(p.wires, w)
+	_ = w.conn.Send(fmt.Appendf(nil, "refused %s\n", runtime.Quote(why)))
+	w.conn.End()
+}
+
+// hello lets a proxy join, or go on where it was.
+func (p *Pilot) hello(w *wire, h *runtime.Hello) {
+	if h.Zone >= len(p.file.Service.Zones) {
+		p.reject(w, fmt.Sprintf("zone %d is none of the %d", h.Zone, len(p.file.Service.Zones)))
+		return
+	}
+	s := p.sessions[h.Proxy]
+	if s != nil && s.token != h.Token && s.conn != nil {
+		p.reject(w, fmt.Sprintf("proxy %d is joined already, as another", h.Proxy))
+		return
+	}
+	if s != nil && s.conn != nil { // its old stream is half open: the new one counts
+		old := s.conn
+		s.conn = nil
+		delete(p.wires, old)
+		old.conn.Close()
+	}
+	resume := s != nil && s.token == h.Token && h.Pilot == p.file.Name && h.Run == p.run && p.resume(s, h.Number)
+	if s != nil && !resume {
+		p.drop(s)
+	}
+	w.id, w.known = h.Proxy, true
+	if !resume {
+		s = &session{id: h.Proxy, token: h.Token, zone: h.Zone, rate: h.Rate, window: max(h.Window, 1)}
+		p.sessions[h.Proxy] = s
+		last := p.numbers[h.Proxy]
+		if h.Pilot == p.file.Name && h.Run == p.run {
+			last = max(last, h.Number)
+		}
+		p.book.join(h.Proxy, h.Standing, h.Pilot != "-", last)
+		p.event(control.Joined{Proxy: h.Proxy, Zone: h.Zone, Rate: h.Rate, Standing: h.Pilot == "-"})
+	} else {
+		p.resumed++
+	}
+	s.conn = w
+	s.awayFor++
+	_ = w.conn.Send(runtime.Welcome{Pilot: p.file.Name, Run: p.run, Resumed: resume}.Append(nil))
+	p.log.Info("proxy joined", "proxy", s.id, "zone", s.zone, "resumed", resume)
+	p.pump()
+}
+
+// resume puts what the proxy has not applied back into the channel; false if it cannot go on where it was.
+func (p *Pilot) resume(s *session, applied uint64) bool {
+	for len(s.sent) > 0 && s.sent[0].Number <= applied {
+		p.confirm(s, s.sent[0]) // applied; the word of it was lost
+	}
+	if len(s.sent) > 0 && s.sent[0].Number != applied+1 {
+		return false
+	}
+	if !p.channel.again(s.sent) {
+		return false
+	}
+	s.sent, s.unconfirmed = nil, 0
+	return true
+}
+
+// confirm takes the first message sent as in force.
+func (p *Pilot) confirm(s *session, m outgoing) {
+	s.sent = s.sent[1:]
+	s.unconfirmed -= m.Lines
+	if m.Checkpoint >= 0 {
+		p.event(control.InForce{Proxy: s.id, Checkpoint: m.Checkpoint, Took: p.now() - m.At})
+	}
+}
+
+func (p *Pilot) inForce(s *session, f runtime.InForce) {
+	if f.Run != p.run {
+		return
+	}
+	for len(s.sent) > 0 && s.sent[0].Number <= f.Number {
+		p.confirm(s, s.sent[0])
+	}
+	p.pump()
+}
+
+// broke notes that a stream ended. The proxy has a while to come back before it counts as gone.
+func (p *Pilot) broke(w *wire) {
+	delete(p.wires, w)
+	s := p.sessions[w.id]
+	if !w.known || s == nil || s.conn != w {
+		return
+	}
+	s.conn = nil
+	s.awayFor++
+	run, turn := p.run, s.awayFor
+	p.log.Info("stream of a proxy broke", "proxy", s.id)
+	time.AfterFunc(p.resumeWithin, func() {
+		p.post(func() {
+			if p.run == run && p.sessions[s.id] == s && s.conn == nil && s.awayFor == turn {
+				p.drop(s)
+			}
+		})
+	})
+}
+
+// drop ends a proxy's session: its messages are lost, and it counts as gone until it joins anew.
+func (p *Pilot) drop(s *session) {
+	if p.sessions[s.id] != s {
+		return
+	}
+	delete(p.sessions, s.id)
+	if s.conn != nil {
+		delete(p.wires, s.conn)
+		s.conn.conn.Close()
+		s.conn = nil
+	}
+	p.channel.drop(s.id)
+	p.numbers[s.id] = p.book.leave(s.id)
+	p.intake.forget(s.id)
+	p.event(control.Left{Proxy: s.id})
+}
+
+// watch closes streams that say nothing and pings the others.
+func (p *Pilot) watch() {
+	for w := range p.wires {
+		quiet := time.Since(w.last)
+		if w.known && quiet > p.silent || !w.known && time.Since(w.opened) > p.silent {
+			p.log.Warn("a stream went silent", "remote", w.conn.Remote(), "for", quiet)
+			w.conn.Close()
+		} else if w.known {
+			_ = w.conn.Send([]byte("ping\n"))
+		}
+	}
+}
--- /dev/null
+++ b/proxy/admin.go
@@ -0,0 +1,134 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"vetchdoor/control"
+	"vetchdoor/runtime"
+	"vetchdoor/session"
+)
+
+func controlID(p *Proxy) control.ProxyID { return control.ProxyID(p.file.ID) }
+
+// admin is the socket for people.
+type admin struct{ *session.Listener }
+
+func (a *admin) close() { a.Listener.Close() }
+
+func startAdmin(p *Proxy, address string) (*admin, error) {
+	l, err := session.Listen(address, "vetchdoor proxy", p.commands())
+	if err != nil {
+		return nil, err
+	}
+	return &admin{l}, nil
+}
+
+func (p *Proxy) commands() []session.Command {
+	return []session.Command{
+		{Words: "show info", Help: "what this proxy is and has done", Do: p.showInfo},
+		{Words: "show stat", Help: "each server of each table, as CSV", Do: p.showStat},
+		{Words: "show servers state", Help: "servers with their weights and states", Do: p.showServers},
+		{Words: "show map", Help: "op types and the tables that they go by", Do: p.showMap},
+		{Words: "show levels", Help: "how much of each op type is let in", Do: p.showLevels},
+		{Words: "set server", Help: "*/eN state drain|ready: by hand, until the pilot says otherwise", Do: p.setServer},
+	}
+}
+
+func (p *Proxy) showInfo(w io.Writer, c runtime.Command) error {
+	t := p.now.Load()
+	fmt.Fprintf(w, "Name: vetchdoor\nRole: proxy\nProxy: %d\nZone: %s\nUptime_sec: %d\n", p.file.ID, p.file.Zone,
+		int(time.Since(p.started).Seconds()))
+	fmt.Fprintf(w, "Pilot: %s\nRun: %d\nMessage: %d\nJoined: %t\n", t.pilot, t.run, t.number, p.orders.joined())
+	fmt.Fprintf(w, "Ops: %d\nAcked: %d\nRejected: %d\nAborted: %d\nRetried: %d\nConnections: %d\n", p.tally.ops.Load(),
+		p.tally.acked.Load(), p.tally.rejected.Load(), p.tally.aborted.Load(), p.tally.retried.Load(), p.pool.Open())
+	return nil
+}
+
+// each calls f for each table in force, the standing one first.
+func (t *tables) each(f func(*table)) {
+	f(t.standing)
+	seen := map[*table]bool{t.standing: true}
+	for _, x := range t.byType {
+		if !seen[x] {
+			seen[x] = true
+			f(x)
+		}
+	}
+	var ids []control.TableID
+	for id := range t.named {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if x := t.named[id]; !seen[x] {
+			f(x)
+		}
+	}
+}
+
+func (t *tables) status(e *server, now time.Time) string {
+	switch {
+	case t.out[e.id]:
+		return "DRAIN"
+	case e.avoided(now):
+		return "DOWN"
+	}
+	return "UP"
+}
+
+func (p *Proxy) showStat(w io.Writer, c runtime.Command) error {
+	t, now := p.now.Load(), time.Now()
+	fmt.Fprintln(w, "# pxname,svname,status,weight,addr,")
+	t.each(func(x *table) {
+		for _, l := range x.lines {
+			fmt.Fprintf(w, "%s,e%d,%s,%g,%s,\n", x.name, l.server.id, t.status(l.server, now), l.weight, l.server.address)
+		}
+	})
+	return nil
+}
+
+func (p *Proxy) showServers(w io.Writer, c runtime.Command) error {
+	t, now := p.now.Load(), time.Now()
+	fmt.Fprintln(w, "1\n# be_name srv_name srv_addr srv_port srv_uweight srv_op_state srv_zone srv_pack")
+	t.each(func(x *table) {
+		for _, l := range x.lines {
+			e := l.server
+			fmt.Fprintf(w, "%s e%d %s %d %g %s %d %d\n", x.name, e.id, e.Address.Addr(), e.Address.Port(), l.weight,
+				t.status(e, now), e.Zone, e.Pack)
+		}
+	})
+	return nil
+}
+
+func (p *Proxy) showMap(w io.Writer, c runtime.Command) error {
+	t := p.now.Load()
+	for i, x := range t.byType {
+		fmt.Fprintf(w, "%d %s %s\n", i, p.types[i].name, x.name)
+	}
+	return nil
+}
+
+func (p *Proxy) showLevels(w io.Writer, c runtime.Command) error {
+	t := p.now.Load()
+	for i := range p.types {
+		l := t.level(i, p.file.Service.Again())
+		fmt.Fprintf(w, "%d %s %g %d\n", i, p.types[i].name, l.share, l.again)
+	}
+	return nil
+}
+
+func (p *Proxy) setServer(w io.Writer, c runtime.Command) error {
+	change, err := runtime.ParseChange(c.Words)
+	if err != nil {
+		return err
+	}
+	if change.Verb != runtime.SetState {
+		return fmt.Errorf("weights are the pilot's; only %s", strings.TrimSpace("set server */eN state drain|ready"))
+	}
+	t := p.now.Load()
+	return p.apply(&runtime.Message{Pilot: t.pilot, Run: t.run, Number: t.number, Changes: []runtime.Change{change}})
+}
--- /dev/null
+++ b/proxy/orders.go
@@ -0,0 +1,303 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"vetchdoor/runtime"
+	"vetchdoor/stream"
+)
+
+// window is how many lines a proxy takes in ahead of what it has applied; a single message may be larger.
+const window = 4096
+
+// orders is the proxy's stream to its pilot: it dials one, in its own zone first, takes messages, applies them in order
+// and confirms each. The tables stand while there is no stream.
+type orders struct {
+	proxy *Proxy
+	log   *slog.Logger
+	rng   *rand.Rand
+	mu    sync.Mutex
+	up    *link // the stream that has been welcomed
+	ended bool
+}
+
+// link is one stream.
+type link struct {
+	o       *orders
+	conn    *stream.Conn
+	scan    *runtime.Scanner
+	pilot   runtime.Welcome
+	greeted bool
+	queue   chan *runtime.Message // taken in, not yet applied
+	mu      sync.Mutex
+	held    int // lines in the queue
+	closed  chan struct{}
+	last    time.Time // when something last came
+}
+
+func newOrders(p *Proxy) *orders {
+	return &orders{proxy: p, log: p.log, rng: rand.New(rand.NewPCG(p.rng.Uint64(), p.rng.Uint64()))}
+}
+
+// dialOrder is the pilots' addresses, those of the own zone first, else as they stand in the file, begun anywhere.
+func (o *orders) dialOrder() []string {
+	var near, far []string
+	for _, at := range o.proxy.file.Pilots {
+		if at.Zone == o.proxy.file.Zone {
+			near = append(near, at.Address)
+		} else {
+			far = append(far, at.Address)
+		}
+	}
+	for _, l := range [][]string{near, far} {
+		o.rng.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	}
+	return append(near, far...)
+}
+
+// run keeps a stream up until the context ends.
+func (o *orders) run(ctx context.Context) {
+	mean := o.proxy.file.Redial.Span()
+	if mean <= 0 {
+		mean = 500 * time.Millisecond
+	}
+	for ctx.Err() == nil {
+		for _, address := range o.dialOrder() {
+			if ctx.Err() != nil || o.serve(ctx, address) {
+				break
+			}
+		}
+		wait := time.Duration(float64(mean) * (0.5 + o.rng.Float64()))
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// serve holds one stream until it breaks; it tells whether the pilot had welcomed this proxy.
+func (o *orders) serve(ctx context.Context, address string) bool {
+	l := &link{o: o, scan: runtime.NewScanner(runtime.Orders), queue: make(chan *runtime.Message, 1024),
+		closed: make(chan struct{}), last: time.Now()}
+	conn, err := stream.Dial(address, 2*time.Second, l)
+	if err != nil {
+		o.log.Debug("pilot not reached", "address", address, "error", err)
+		return false
+	}
+	l.mu.Lock()
+	l.conn = conn
+	l.mu.Unlock()
+	p := o.proxy
+	p.mu.Lock()
+	t := p.now.Load()
+	h := runtime.Hello{Proxy: controlID(p), Token: p.token, Zone: p.zone, Rate: p.file.Rate, Pilot: t.pilot, Run: t.run,
+		Number: t.number, Window: window, Standing: p.standing}
+	p.mu.Unlock()
+	if h.Pilot == "" {
+		h.Pilot = "-"
+	}
+	_ = conn.Send(h.Append(nil))
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		l.applyAll()
+	}()
+	silent := p.file.Silent.Span()
+	if silent <= 0 {
+		silent = 10 * time.Second
+	}
+	check := time.NewTicker(silent / 4)
+	defer check.Stop()
+	for up := true; up; {
+		select {
+		case <-l.closed:
+			up = false
+		case <-ctx.Done():
+			conn.Close()
+			up = false
+		case <-check.C:
+			l.mu.Lock()
+			quiet := time.Since(l.last)
+			l.mu.Unlock()
+			if quiet > silent {
+				o.log.Warn("pilot went silent", "address", address, "for", quiet)
+				conn.Close()
+				up = false
+			}
+		}
+	}
+	<-l.closed
+	<-applied // what was taken in of an old stream is applied or dropped before a new hello says what is held
+	o.mu.Lock()
+	welcomed := l.greeted
+	if o.up == l {
+		o.up = nil
+	}
+	o.mu.Unlock()
+	if welcomed && ctx.Err() == nil {
+		o.log.Info("stream to the pilot broke; tables stand", "address", address)
+	}
+	return welcomed
+}
+
+// joined tells whether a pilot has welcomed the proxy.
+func (o *orders) joined() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.up != nil
+}
+
+func (o *orders) send(b []byte) {
+	o.mu.Lock()
+	l := o.up
+	o.mu.Unlock()
+	if l != nil {
+		_ = l.conn.Send(b)
+	}
+}
+
+// end closes the stream once what was sent is written.
+func (o *orders) end() {
+	o.mu.Lock()
+	l := o.up
+	o.mu.Unlock()
+	if l != nil {
+		l.conn.End()
+	}
+}
+
+// Data takes in what the pilot sends.
+func (l *link) Data(c *stream.Conn, b []byte) {
+	l.mu.Lock()
+	l.last = time.Now()
+	l.mu.Unlock()
+	l.scan.Feed(b)
+	for {
+		line, ok, err := l.scan.Next()
+		if err == nil && !ok {
+			return
+		}
+		if err == nil {
+			err = l.take(c, line[0])
+		}
+		if err != nil {
+			l.o.log.Warn("pilot sent what cannot be taken; the stream is closed", "error", err)
+			c.Close()
+			return
+		}
+	}
+}
+
+var errWindow = errors.New("more lines than the window")
+
+func (l *link) take(c *stream.Conn, cmd runtime.Command) error {
+	switch {
+	case cmd.Is("welcome"):
+		w, err := runtime.ParseWelcome(cmd)
+		if err != nil {
+			return err
+		}
+		l.o.mu.Lock()
+		l.pilot, l.greeted = w, true
+		l.o.up = l
+		l.mu.Lock()
+		l.conn = c
+		l.mu.Unlock()
+		l.o.mu.Unlock()
+		l.o.log.Info("joined a pilot", "pilot", w.Pilot, "run", w.Run, "resumed", w.Resumed)
+		return nil
+	case cmd.Is("ping"):
+		return nil // that it came is all there is to it
+	case cmd.Is("apply"):
+		if !l.greeted {
+			return errors.New("a message before the welcome")
+		}
+		m, err := runtime.ParseMessage(cmd)
+		if err != nil {
+			l.refuse(cmd, err)
+			return err
+		}
+		l.mu.Lock()
+		full := l.held > 0 && l.held+m.Lines > window
+		l.held += m.Lines
+		l.mu.Unlock()
+		if full {
+			return errWindow
+		}
+		select {
+		case l.queue <- m:
+			return nil
+		default:
+			return errWindow
+		}
+	}
+	return errors.New("not a command of a pilot's stream: " + cmd.String())
+}
+
+// refuse tells the pilot that a message could not be read, as far as its head can be.
+func (l *link) refuse(cmd runtime.Command, err error) {
+	r := runtime.Refused{Reason: err.Error()}
+	_ = l.conn.Send(r.Append(nil))
+}
+
+// applyAll applies what was taken in, in order, until the stream ends; what is left then is dropped, and the pilot,
+// which has no word of it, sends it again or anew.
+func (l *link) applyAll() {
+	for {
+		select {
+		case <-l.closed:
+			return
+		case m := <-l.queue:
+			if stall := l.o.proxy.ApplyFor; stall != nil {
+				if d := stall(m); d > 0 {
+					select {
+					case <-time.After(d):
+					case <-l.closed:
+						return
+					}
+				}
+			}
+			l.applyOne(m)
+			l.mu.Lock()
+			l.held -= m.Lines
+			l.mu.Unlock()
+		}
+	}
+}
+
+// applyOne applies a message unless it has been applied already, and confirms it; one of an older run, or with a gap
+// before it, is refused and ends the stream.
+func (l *link) applyOne(m *runtime.Message) {
+	p := l.o.proxy
+	t := p.now.Load()
+	same := t.pilot == m.Pilot && t.run == m.Run
+	confirm := runtime.InForce{Run: m.Run, Number: m.Number, Checkpoint: m.Checkpoint}
+	var err error
+	switch {
+	case m.Pilot != l.pilot.Pilot || m.Run != l.pilot.Run:
+		err = errors.New("a message of another run than the stream's")
+	case t.pilot == m.Pilot && m.Run < t.run:
+		err = errors.New("a message of an older run than what is in force")
+	case same && m.Number <= t.number:
+		confirm.Again = true
+	case same && l.pilot.Resumed && m.Number != t.number+1:
+		err = errors.New("a message is missing before this one")
+	default:
+		err = p.apply(m)
+	}
+	if err != nil {
+		l.o.log.Warn("message refused", "run", m.Run, "number", m.Number, "error", err)
+		_ = l.conn.Send(runtime.Refused{Run: m.Run, Number: m.Number, Reason: err.Error()}.Append(nil))
+		l.conn.End()
+		return
+	}
+	_ = l.conn.Send(confirm.Append(nil))
+}
+
+// Closed notes that the stream ended.
+func (l *link) Closed(*stream.Conn) { close(l.closed) }
--- /dev/null
+++ b/proxy/proxy.go
@@ -0,0 +1,454 @@
+// Package proxy is vetchdoor's own obedient proxy. It carries ops from clients to servers by the tables that its pilot
+// publishes and decides nothing: it picks evenly by weight, avoids a server after a run of its own failures, tries again
+// only as ordered and only where that is safe, and lets in no more than its levels say. Start is the way in.
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"vetchdoor/control"
+	"vetchdoor/files"
+	"vetchdoor/http1"
+	"vetchdoor/runtime"
+	"vetchdoor/serve"
+	"vetchdoor/upstream"
+)
+
+// UnrunHeader marks a refusal by a server as proof that the op did not run.
+const UnrunHeader = "Op-Unrun"
+
+// Proxy is a running proxy.
+type Proxy struct {
+	file     *files.Proxy
+	log      *slog.Logger
+	zone     int
+	types    []opType
+	server   *serve.Server
+	pool     *upstream.Pool
+	servers  servers
+	now      holder
+	mu       sync.Mutex // held while tables change
+	rng      *rand.Rand // under mu
+	token    string
+	standing []control.EndpointID
+	orders   *orders
+	admin    *admin
+	pushed   time.Time // when sums were last pushed
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	started  time.Time
+	tally    tally
+
+	// ApplyFor, if not nil, is how long a message stalls the proxy before it applies; a rehearsal's way of a slow one.
+	ApplyFor func(m *runtime.Message) time.Duration
+}
+
+// tally counts since the start, for people.
+type tally struct{ ops, acked, rejected, aborted, retried atomic.Int64 }
+
+// opType is what the proxy keeps for one op type.
+type opType struct {
+	control.OpType
+	name    string
+	method  []byte
+	prefix  []byte
+	header  string
+	value   []byte
+	mu      sync.Mutex
+	credit  float64 // of what may be let in
+	ops     atomic.Int64
+	unacked atomic.Int64
+}
+
+// New makes a proxy from its file; Start runs it.
+func New(file *files.Proxy, log *slog.Logger) (*Proxy, error) {
+	p := &Proxy{file: file, log: log.With("proxy", file.ID), zone: file.Service.ZoneIndex(file.Zone), started: time.Now(),
+		servers: servers{byID: map[control.EndpointID]*server{}}}
+	seed := file.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	p.rng = rand.New(rand.NewPCG(seed, uint64(file.ID)))
+	p.token = strconv.FormatUint(rand.Uint64(), 36)
+	types := file.Service.Types()
+	p.types = make([]opType, len(types))
+	for i := range types {
+		t, m := &p.types[i], file.Service.OpTypes[i].Match
+		t.OpType, t.name = types[i], file.Service.OpTypes[i].Name
+		t.method, t.prefix = []byte(m.Method), []byte(m.PathPrefix)
+		if name, value, ok := strings.Cut(m.Header, ": "); ok {
+			t.header, t.value = name, []byte(value)
+		}
+	}
+	pool := file.Pool
+	p.pool = &upstream.Pool{PerServer: pool.PerServer, IdleClose: pool.IdleClose.Span(),
+		ConnectTimeout: pool.ConnectTimeout.Span()}
+	lines, err := p.drawStanding()
+	if err != nil {
+		return nil, err
+	}
+	p.now.Store(newTables(len(types), lines, p.rng))
+	p.servers.keep(p.now.Load())
+	p.server = &serve.Server{Handle: p.handle, Open: func(c *serve.Conn) bool { c.Data = &scratch{}; return true }}
+	return p, nil
+}
+
+// drawStanding draws the table that the proxy starts with: from the servers of its zone if at least three are there.
+func (p *Proxy) drawStanding() ([]line, error) {
+	var own, all []files.StandingServer
+	for _, s := range p.file.Servers {
+		all = append(all, s)
+		if s.Zone == p.file.Zone {
+			own = append(own, s)
+		}
+	}
+	if len(own) >= 3 {
+		all = own
+	}
+	p.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	all = all[:min(len(all), p.file.Service.Bootstrap)]
+	slices.SortFunc(all, func(a, b files.StandingServer) int { return int(int64(a.Endpoint) - int64(b.Endpoint)) })
+	var lines []line
+	for _, s := range all {
+		at, err := netip.ParseAddrPort(s.Address)
+		if err != nil {
+			return nil, fmt.Errorf("server %d: %w", s.Endpoint, err)
+		}
+		id := control.EndpointID(s.Endpoint)
+		rec := runtime.Server{Address: at, Zone: p.file.Service.ZoneIndex(s.Zone), Pack: s.Pack}
+		weight := s.Weight
+		if weight <= 0 {
+			weight = 1
+		}
+		lines = append(lines, line{p.servers.get(id, rec), weight})
+		p.standing = append(p.standing, id)
+	}
+	return lines, nil
+}
+
+// Start listens for clients and people and dials the pilots.
+func (p *Proxy) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	if err := p.server.Start(p.file.Listen); err != nil {
+		cancel()
+		return err
+	}
+	if p.file.Admin != "" {
+		var err error
+		if p.admin, err = startAdmin(p, p.file.Admin); err != nil {
+			cancel()
+			p.server.Stop(context.Background())
+			return err
+		}
+	}
+	p.pushed = time.Now()
+	p.orders = newOrders(p)
+	p.done.Add(2)
+	go func() { defer p.done.Done(); p.orders.run(ctx) }()
+	go func() { defer p.done.Done(); p.pushSums(ctx) }()
+	p.log.Info("proxy runs", "listen", p.server.Address(), "zone", p.file.Zone, "standing", len(p.standing))
+	return nil
+}
+
+// Address is where clients reach it.
+func (p *Proxy) Address() string { return p.server.Address() }
+
+// Stop ends it in order: no new ops, those in hand answered within the longest op timeout or until the context ends,
+// the last sums sent, then the stream closed.
+func (p *Proxy) Stop(ctx context.Context) {
+	longest := time.Duration(0)
+	for i := range p.types {
+		longest = max(longest, p.types[i].OpTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, longest+time.Second)
+	defer cancel()
+	p.server.Stop(ctx)
+	p.sendSums(time.Now())
+	p.orders.end()
+	p.cancel()
+	p.done.Wait()
+	if p.admin != nil {
+		p.admin.close()
+	}
+	p.pool.Close()
+	p.log.Info("proxy ended", "ops", p.tally.ops.Load())
+}
+
+// typeOf tells an op's type: the first whose rule matches; below 0 if none does.
+func (p *Proxy) typeOf(m *http1.Message) int {
+	for i := range p.types {
+		t := &p.types[i]
+		if len(t.method) > 0 && !bytes.Equal(t.method, m.Method) || !bytes.HasPrefix(m.Target, t.prefix) {
+			continue
+		}
+		if t.header != "" && !bytes.Equal(m.Get(t.header), t.value) {
+			continue
+		}
+		return i
+	}
+	return -1
+}
+
+// admit tells whether an op is let in, thinning evenly.
+func (t *opType) admit(share float64) bool {
+	if share >= 1 {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.credit += max(share, 0); t.credit < 1 {
+		return false
+	}
+	t.credit--
+	return true
+}
+
+// scratch is what a client's connection reuses from op to op.
+type scratch struct{ out, in []byte }
+
+// handle carries one op.
+func (p *Proxy) handle(c *serve.Conn, m *http1.Message) {
+	arrived := time.Now()
+	s := c.Data.(*scratch)
+	i := p.typeOf(m)
+	if i < 0 {
+		p.answer(c, s, 404, "no op type matches", 0)
+		return
+	}
+	t := &p.types[i]
+	t.ops.Add(1)
+	p.tally.ops.Add(1)
+	now := p.now.Load()
+	l := now.level(i, p.file.Service.Again())
+	if !t.admit(l.share) {
+		p.tally.rejected.Add(1)
+		p.answer(c, s, 503, "not let in", p.retryAfter())
+		return
+	}
+	deadline := arrived.Add(t.OpTimeout)
+	s.out = p.request(s.out[:0], m)
+	head := string(m.Method) == "HEAD"
+	state := tries{opType: t.OpType, keyed: len(m.Get("Idempotency-Key")) > 0}
+	var tried []*server
+	call := &upstream.Call{}
+	c.OnGone(call.GiveUp)
+	defer c.OnGone(nil)
+	var last *upstream.Failure
+	for {
+		begin := time.Now()
+		e := now.pickFor(i, begin, func(e *server) bool {
+			return (!t.OwnZoneOnly || e.Zone == p.zone) && !slices.Contains(tried, e) && state.at(e.Server, begin)
+		})
+		if e == nil {
+			break
+		}
+		state.sent()
+		until := deadline
+		if l.again >= control.OnceMore && state.made < most(l.again) && p.file.Service.TryShare > 0 {
+			if short := begin.Add(time.Duration(p.file.Service.TryShare * float64(t.TargetLatency))); short.Before(until) {
+				until = short
+			}
+		}
+		a, fail := p.pool.Send(call, e.address, s.out, until, head)
+		took := time.Since(begin)
+		if fail == nil {
+			if p.passOn(c, s, a, e, took, &state, begin, l.again, deadline) {
+				if a.Status >= 500 {
+					t.unacked.Add(1)
+				} else {
+					p.tally.acked.Add(1)
+				}
+				return
+			}
+		} else {
+			if fail.Gone {
+				e.met(false, took, nil, 0, 0)
+				t.unacked.Add(1)
+				p.tally.aborted.Add(1)
+				c.CloseAfter()
+				return
+			}
+			e.met(false, took, nil, p.file.Service.OutlierAfter, p.file.Service.OutlierFor.Span())
+			state.failedAt(e, begin, fail.Unrun)
+		}
+		last = fail
+		tried = append(tried, e)
+		if !state.may(l.again) || !time.Now().Before(deadline) {
+			break
+		}
+		p.tally.retried.Add(1)
+		now = p.now.Load() // withdrawals since the first try bind this one
+		l = now.level(i, p.file.Service.Again())
+	}
+	t.unacked.Add(1)
+	p.tally.aborted.Add(1)
+	switch {
+	case last != nil && last.Timeout:
+		p.answer(c, s, 504, "no answer in time", p.retryAfter())
+	case state.made == 0:
+		p.answer(c, s, 503, "no server", p.retryAfter())
+	default:
+		p.answer(c, s, 502, "no answer", p.retryAfter())
+	}
+}
+
+// passOn hands an answer to the client, unless it is a refusal after which another try may follow.
+func (p *Proxy) passOn(c *serve.Conn, s *scratch, a *upstream.Answer, e *server, took time.Duration, state *tries,
+	begin time.Time, again control.Again, deadline time.Time) bool {
+	defer a.Release()
+	good := a.Status < 500
+	e.met(good, took, p.load(a.Get(http1.LoadHeader)), p.file.Service.OutlierAfter, p.file.Service.OutlierFor.Span())
+	if !good {
+		state.failedAt(e, begin, a.Status == 503 && len(a.Get(UnrunHeader)) > 0)
+		if state.may(again) && time.Now().Before(deadline) {
+			return false
+		}
+	}
+	b := http1.AppendStatus(s.in[:0], a.Status)
+	b = http1.AppendForwarded(b, a.Message)
+	if !good && a.Get("Retry-After") == nil {
+		b = http1.AppendField(b, "Retry-After", p.retryAfterText())
+	}
+	s.in = http1.AppendBody(b, a.Body)
+	_ = c.Write(s.in)
+	return true
+}
+
+func (p *Proxy) retryAfter() time.Duration {
+	if d := p.file.RetryAfter.Span(); d > 0 {
+		return d
+	}
+	return time.Second
+}
+
+// retryAfterText is in whole seconds, as RFC 9110 has it, and never 0.
+func (p *Proxy) retryAfterText() string {
+	return strconv.Itoa(max(1, int((p.retryAfter()+time.Second-1)/time.Second)))
+}
+
+// answer is the proxy's own.
+func (p *Proxy) answer(c *serve.Conn, s *scratch, status int, text string, after time.Duration) {
+	b := http1.AppendStatus(s.in[:0], status)
+	b = http1.AppendField(b, "Content-Type", "text/plain; charset=utf-8")
+	b = http1.AppendField(b, "Via", "1.1 p"+strconv.Itoa(int(p.file.ID)))
+	if after > 0 {
+		b = http1.AppendField(b, "Retry-After", p.retryAfterText())
+	}
+	s.in = http1.AppendBody(b, append([]byte(text), '\n'))
+	_ = c.Write(s.in)
+}
+
+// request writes what is sent to a server.
+func (p *Proxy) request(b []byte, m *http1.Message) []byte {
+	b = http1.AppendRequest(b, m.Method, m.Target)
+	b = http1.AppendForwarded(b, m)
+	b = http1.AppendField(b, "Via", "1.1 p"+strconv.Itoa(int(p.file.ID)))
+	return http1.AppendBody(b, m.Body)
+}
+
+// load reads a load report in the order of the service's measures.
+func (p *Proxy) load(v []byte) []float64 {
+	if len(v) == 0 || len(p.file.Service.Measures) == 0 {
+		return nil
+	}
+	l := http1.ParseLoad(v)
+	if len(l) == 0 {
+		return nil
+	}
+	out := make([]float64, len(p.file.Service.Measures))
+	for i, name := range p.file.Service.Measures {
+		out[i] = l[name]
+	}
+	return out
+}
+
+// pushSums sends what was met to the pilot, each period.
+func (p *Proxy) pushSums(ctx context.Context) {
+	t := time.NewTicker(p.file.Service.ReportEvery.Span())
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			p.sendSums(now)
+		}
+	}
+}
+
+// sendSums sends the sums since the last ones; without a stream they add up.
+func (p *Proxy) sendSums(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.orders.joined() {
+		return
+	}
+	s := runtime.Sums{Window: now.Sub(p.pushed)}
+	p.pushed = now
+	for i := range p.types {
+		t := &p.types[i]
+		s.Types = append(s.Types, runtime.TypeSum{OpType: i, Ops: int(t.ops.Swap(0)), Unacked: int(t.unacked.Swap(0))})
+	}
+	for _, e := range p.servers.all() {
+		if sum, ok := e.sum(); ok {
+			s.Servers = append(s.Servers, sum)
+		}
+	}
+	p.orders.send(s.Append(nil))
+}
+
+// apply brings a message into force, whole.
+func (p *Proxy) apply(m *runtime.Message) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n, err := p.now.Load().apply(m, &p.servers, len(p.types), p.rng)
+	if err != nil {
+		return err
+	}
+	p.now.Store(n)
+	for _, e := range p.servers.keep(n) {
+		p.pool.Forget(e.address)
+	}
+	for _, c := range m.Changes {
+		if c.Verb == runtime.SetState && c.Out {
+			p.servers.mu.Lock()
+			e := p.servers.byID[c.Endpoint]
+			p.servers.mu.Unlock()
+			if e != nil {
+				p.pool.Forget(e.address)
+			}
+		}
+	}
+	return nil
+}
+
+// Kill ends it as a killed process would: connections break, nothing is said.
+func (p *Proxy) Kill() {
+	p.cancel()
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	p.pool.Close()
+	p.server.Stop(gone)
+	p.done.Wait()
+	if p.admin != nil {
+		p.admin.close()
+	}
+}
+
+// Connections is how many it has open to servers.
+func (p *Proxy) Connections() int64 { return p.pool.Open() }
+
+// Opened is how many it has opened to servers so far.
+func (p *Proxy) Opened() int64 { return p.pool.Opened.Load() }
--- /dev/null
+++ b/runtime/block.go
@@ -0,0 +1,284 @@
+package runtime
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"vetchdoor/control"
+)
+
+// What a proxy sends up its stream are blocks: lines ended by an empty one, as replies are in HAProxy's socket. The
+// first word tells the kind: hello, in-force, refused or sums. A pilot answers a hello with a welcome command.
+
+// Blocks cuts bytes into blocks.
+type Blocks struct {
+	buf    []byte
+	looked int
+	most   int
+}
+
+// NewBlocks returns a reader of blocks of at most so many bytes.
+func NewBlocks(most int) *Blocks { return &Blocks{most: most} }
+
+// Feed takes bytes in.
+func (r *Blocks) Feed(b []byte) { r.buf = append(r.buf, b...) }
+
+// Next returns the lines of the next whole block; ok is false until there is one.
+func (r *Blocks) Next() (lines []string, ok bool, err error) {
+	end := bytes.Index(r.buf[r.looked:], []byte("\n\n"))
+	if end < 0 || r.looked+end > r.most {
+		if r.looked = max(0, len(r.buf)-1); len(r.buf) > r.most {
+			return nil, false, ErrTooLong
+		}
+		return nil, false, nil
+	}
+	end += r.looked
+	lines = strings.Split(string(r.buf[:end]), "\n")
+	r.buf, r.looked = r.buf[end+2:], 0
+	if len(r.buf) == 0 {
+		r.buf = nil
+	}
+	return lines, true, nil
+}
+
+// Hello is how a proxy opens its stream.
+type Hello struct {
+	Proxy    control.ProxyID
+	Token    string // drawn at the proxy's start; tells it from another that takes its number
+	Zone     int
+	Rate     float64 // ops a second it usually gets
+	Pilot    string  // whose run it last applied something of; "-": none
+	Run      uint64
+	Number   uint64               // the last message applied, of that run
+	Window   int                  // lines that may be on their way to it, not confirmed
+	Standing []control.EndpointID // its standing table
+}
+
+// Append appends the block.
+func (h *Hello) Append(b []byte) []byte {
+	b = fmt.Appendf(b, "hello %d token %s zone %d rate %s holds %s %d %d window %d standing ", h.Proxy, Quote(h.Token), h.Zone,
+		strconv.FormatFloat(h.Rate, 'g', -1, 64), Quote(h.Pilot), h.Run, h.Number, h.Window)
+	for i, e := range h.Standing {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendUint(b, uint64(e), 10)
+	}
+	if len(h.Standing) == 0 {
+		b = append(b, '-')
+	}
+	return append(b, "\n\n"...)
+}
+
+// InForce confirms a message.
+type InForce struct {
+	Run, Number uint64
+	Checkpoint  int // below 0: none
+	Again       bool
+}
+
+// Append appends the block.
+func (f InForce) Append(b []byte) []byte {
+	b = fmt.Appendf(b, "in-force %d %d", f.Run, f.Number)
+	if f.Checkpoint >= 0 {
+		b = fmt.Appendf(b, " checkpoint %d", f.Checkpoint)
+	}
+	if f.Again {
+		b = append(b, " again"...)
+	}
+	return append(b, "\n\n"...)
+}
+
+// Refused says that a message was not applied, nothing of it, and why.
+type Refused struct {
+	Run, Number uint64
+	Reason      string
+}
+
+// Append appends the block.
+func (r Refused) Append(b []byte) []byte {
+	return fmt.Appendf(b, "refused %d %d %s\n\n", r.Run, r.Number, Quote(r.Reason))
+}
+
+// Sums are what a proxy met over a period.
+type Sums struct {
+	Window  time.Duration
+	Types   []TypeSum
+	Servers []ServerSum
+}
+
+// TypeSum is what came of one op type.
+type TypeSum struct{ OpType, Ops, Unacked int }
+
+// ServerSum is what was met at one server; Latency is the mean of the good tries, Load the newest report.
+type ServerSum struct {
+	Endpoint      control.EndpointID
+	Tries, Failed int
+	Latency       time.Duration
+	Load          []float64
+}
+
+// Append appends the block.
+func (s *Sums) Append(b []byte) []byte {
+	b = strconv.AppendInt(append(b, "sums "...), s.Window.Microseconds(), 10)
+	b = append(b, '\n')
+	for _, t := range s.Types {
+		b = fmt.Appendf(b, "type %d %d %d\n", t.OpType, t.Ops, t.Unacked)
+	}
+	for _, e := range s.Servers {
+		b = fmt.Appendf(b, "server %d %d %d %d", e.Endpoint, e.Tries, e.Failed, e.Latency.Microseconds())
+		for _, x := range e.Load {
+			b = strconv.AppendFloat(append(b, ' '), x, 'g', 6, 64)
+		}
+		b = append(b, '\n')
+	}
+	return append(b, '\n')
+}
+
+// ParseBlock reads a block: *Hello, InForce, Refused or *Sums.
+func ParseBlock(lines []string) (any, error) {
+	scan := Scanner{bounds: Orders}
+	words := func(line string) (*wordReader, error) {
+		cmds, _, opened, err := scan.split(line)
+		if err == nil && (len(cmds) != 1 || opened) {
+			err = fmt.Errorf("%.60q is not one line of words", line)
+		}
+		if err != nil {
+			return nil, err
+		}
+		return &wordReader{words: cmds[0].Words}, nil
+	}
+	w, err := words(lines[0])
+	if err != nil {
+		return nil, err
+	}
+	kind := w.take()
+	if kind != "sums" && len(lines) > 1 {
+		return nil, fmt.Errorf("%q has one line, not %d", kind, len(lines))
+	}
+	var block any
+	switch kind {
+	case "hello":
+		block = w.hello()
+	case "in-force":
+		f := InForce{Run: w.uint("run", math.MaxUint64), Number: w.uint("number", math.MaxUint64), Checkpoint: -1}
+		if len(w.words) > 0 && w.words[0] == "checkpoint" {
+			w.take()
+			f.Checkpoint = int(w.uint("checkpoint", math.MaxUint16))
+		}
+		if len(w.words) > 0 {
+			w.expect("again")
+			f.Again = true
+		}
+		block = f
+	case "refused":
+		block = Refused{Run: w.uint("run", math.MaxUint64), Number: w.uint("number", math.MaxUint64), Reason: w.take()}
+	case "sums":
+		s := &Sums{Window: time.Duration(w.uint("window", 3600e6)) * time.Microsecond}
+		for _, line := range lines[1:] {
+			l, err := words(line)
+			if err != nil {
+				return nil, err
+			}
+			if err := l.sum(s); err != nil {
+				return nil, fmt.Errorf("%.60q: %w", line, err)
+			}
+		}
+		block = s
+	default:
+		return nil, fmt.Errorf("%q is no kind of block", kind)
+	}
+	if w.err == nil && len(w.words) > 0 {
+		w.fail("%q is too much", w.words[0])
+	}
+	return block, w.err
+}
+
+func (w *wordReader) hello() *Hello {
+	h := &Hello{Proxy: control.ProxyID(w.uint("proxy", math.MaxUint16))}
+	w.expect("token")
+	h.Token = w.take()
+	w.expect("zone")
+	h.Zone = int(w.uint("zone", 255))
+	w.expect("rate")
+	if h.Rate = w.float("rate"); h.Rate < 0 {
+		w.fail("rate %v is below 0", h.Rate)
+	}
+	w.expect("holds")
+	h.Pilot, h.Run, h.Number = w.take(), w.uint("run", math.MaxUint64), w.uint("number", math.MaxUint64)
+	w.expect("window")
+	h.Window = int(w.uint("window", math.MaxInt32))
+	w.expect("standing")
+	if list := w.take(); list != "-" {
+		for s := range strings.SplitSeq(list, ",") {
+			n, err := strconv.ParseUint(s, 10, 32)
+			if err != nil {
+				w.fail("standing table: %q is no server", s)
+				break
+			}
+			h.Standing = append(h.Standing, control.EndpointID(n))
+		}
+	}
+	return h
+}
+
+// mostCount bounds what a proxy may claim of one period.
+const mostCount = 100_000_000
+
+func (w *wordReader) sum(s *Sums) error {
+	switch kind := w.take(); kind {
+	case "type":
+		t := TypeSum{OpType: int(w.uint("op type", 15)), Ops: int(w.uint("ops", mostCount))}
+		t.Unacked = int(w.uint("unacked", mostCount))
+		s.Types = append(s.Types, t)
+	case "server":
+		e := ServerSum{Endpoint: control.EndpointID(w.uint("server", math.MaxUint32))}
+		e.Tries, e.Failed = int(w.uint("tries", mostCount)), int(w.uint("failed", mostCount))
+		e.Latency = time.Duration(w.uint("latency", 3600e6)) * time.Microsecond
+		for len(w.words) > 0 && w.err == nil {
+			e.Load = append(e.Load, w.float("load"))
+		}
+		s.Servers = append(s.Servers, e)
+	default:
+		w.fail("%q is no kind of sum", kind)
+	}
+	if w.err == nil && len(w.words) > 0 {
+		w.fail("%q is too much", w.words[0])
+	}
+	return w.err
+}
+
+// Welcome is the pilot's answer to a hello, a command line of its own.
+type Welcome struct {
+	Pilot   string
+	Run     uint64
+	Resumed bool // the session goes on: what was not confirmed comes again
+}
+
+// Append appends the command.
+func (m Welcome) Append(b []byte) []byte {
+	how := "fresh"
+	if m.Resumed {
+		how = "resumed"
+	}
+	return fmt.Appendf(b, "welcome %s %d %s\n", Quote(m.Pilot), m.Run, how)
+}
+
+// ParseWelcome reads a welcome.
+func ParseWelcome(c Command) (Welcome, error) {
+	w := &wordReader{words: c.Words}
+	w.expect("welcome")
+	m := Welcome{Pilot: w.take(), Run: w.uint("run", math.MaxUint64)}
+	switch how := w.take(); how {
+	case "resumed":
+		m.Resumed = true
+	case "fresh":
+	default:
+		w.fail("%q is neither fresh nor resumed", how)
+	}
+	return m, w.err
+}
--- /dev/null
+++ b/runtime/change.go
@@ -0,0 +1,382 @@
+package runtime
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"vetchdoor/control"
+)
+
+// Verb is what a change does.
+type Verb byte
+
+const (
+	AddServer  Verb = iota + 1 // a line of a table, with all that is needed to send there
+	SetWeight                  // the weight of a line that is there
+	DelServer                  // a line goes
+	SetState                   // a server out of all tables, or back in; Out
+	ClearState                 // all servers back in
+	SetMap                     // op types to a table
+	ClearTable                 // all lines and levels of a table go
+	SetLevel                   // how much of op types is let in, and how tries are repeated
+)
+
+// Change is one line of a pilot's message.
+type Change struct {
+	Verb     Verb
+	Table    control.TableID // control.Everywhere for all, with SetLevel
+	Endpoint control.EndpointID
+	Server   Server // AddServer
+	Weight   float64
+	Out      bool   // SetState
+	OpTypes  uint16 // a bit for each; 0: all
+	Level    float64
+	Again    control.Again
+}
+
+// Server is what a proxy must know of an endpoint to send ops there and to try them again safely.
+type Server struct {
+	Address netip.AddrPort
+	Zone    int
+	Pack    int
+}
+
+var agains = [...]string{control.Never: "never", control.IfUnrun: "if-unrun", control.OnceMore: "once",
+	control.TwiceMore: "twice"}
+
+// Append appends the change as a line, without its end.
+func (c Change) Append(b []byte) []byte {
+	switch c.Verb {
+	case AddServer:
+		b = c.server(append(b, "add server "...))
+		b = c.Server.Address.AppendTo(append(b, ' '))
+		b = number(append(b, " weight "...), c.Weight)
+		b = strconv.AppendInt(append(b, " zone "...), int64(c.Server.Zone), 10)
+		b = strconv.AppendInt(append(b, " pack "...), int64(c.Server.Pack), 10)
+	case SetWeight:
+		b = number(append(c.server(append(b, "set server "...)), " weight "...), c.Weight)
+	case DelServer:
+		b = c.server(append(b, "del server "...))
+	case SetState:
+		b = strconv.AppendUint(append(b, "set server */e"...), uint64(c.Endpoint), 10)
+		if b = append(b, " state ready"...); c.Out {
+			b = append(b[:len(b)-len("ready")], "drain"...)
+		}
+	case ClearState:
+		b = append(b, "set server */* state ready"...)
+	case SetMap:
+		b = appendTypes(append(b, "set map op-types "...), c.OpTypes)
+		b = appendTable(append(b, ' '), c.Table)
+	case ClearTable:
+		b = appendTable(append(b, "clear table "...), c.Table)
+	case SetLevel:
+		b = appendTable(append(b, "set level "...), c.Table)
+		b = appendTypes(append(b, ' '), c.OpTypes)
+		b = number(append(b, ' '), c.Level)
+		b = append(append(b, " again "...), agains[c.Again]...)
+	}
+	return b
+}
+
+func (c Change) String() string { return string(c.Append(nil)) }
+
+func (c Change) server(b []byte) []byte {
+	return strconv.AppendUint(append(appendTable(b, c.Table), "/e"...), uint64(c.Endpoint), 10)
+}
+
+func number(b []byte, x float64) []byte { return strconv.AppendFloat(b, x, 'g', -1, 64) }
+
+func appendTable(b []byte, t control.TableID) []byte {
+	if t == control.Everywhere {
+		return append(b, '*')
+	}
+	return strconv.AppendUint(append(b, 't'), uint64(t), 10)
+}
+
+func appendTypes(b []byte, mask uint16) []byte {
+	if mask == 0 {
+		return append(b, '*')
+	}
+	comma := false
+	for i := range 16 {
+		if mask&(1<<i) != 0 {
+			if comma {
+				b = append(b, ',')
+			}
+			b, comma = strconv.AppendInt(b, int64(i), 10), true
+		}
+	}
+	return b
+}
+
+// ErrNoChange says that a command is none of the changes; it may be one for people.
+var ErrNoChange = errors.New("not a change")
+
+// ParseChange reads a change from the words of a command.
+func ParseChange(words []string) (c Change, err error) {
+	w := &wordReader{words: words}
+	switch w.take() + " " + w.take() {
+	case "add server":
+		c.Verb = AddServer
+		w.server(&c)
+		w.address(&c.Server.Address)
+		w.expect("weight")
+		w.weight(&c)
+		w.expect("zone")
+		c.Server.Zone = int(w.uint("zone", 255))
+		w.expect("pack")
+		c.Server.Pack = int(w.uint("pack", math.MaxUint16))
+	case "set server":
+		if len(words) > 2 && strings.HasPrefix(words[2], "*/") {
+			w.state(&c)
+			break
+		}
+		c.Verb = SetWeight
+		w.server(&c)
+		w.expect("weight")
+		w.weight(&c)
+	case "del server":
+		c.Verb = DelServer
+		w.server(&c)
+	case "set map":
+		c.Verb = SetMap
+		w.expect("op-types")
+		w.types(&c)
+		c.Table = w.table(w.take(), false)
+	case "clear table":
+		c.Verb = ClearTable
+		c.Table = w.table(w.take(), false)
+	case "set level":
+		c.Verb = SetLevel
+		c.Table = w.table(w.take(), true)
+		w.types(&c)
+		if c.Level = w.float("level"); c.Level < 0 {
+			w.fail("level %v is below 0", c.Level)
+		}
+		w.expect("again")
+		w.again(&c)
+	default:
+		return c, ErrNoChange
+	}
+	if w.err == nil && len(w.words) > 0 {
+		w.fail("%q is too much", w.words[0])
+	}
+	return c, w.err
+}
+
+// wordReader takes words one by one and keeps the first error.
+type wordReader struct {
+	words []string
+	err   error
+}
+
+func (w *wordReader) fail(format string, args ...any) {
+	if w.err == nil {
+		w.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (w *wordReader) take() string {
+	if len(w.words) == 0 {
+		w.fail("the command ends too early")
+		return ""
+	}
+	s := w.words[0]
+	w.words = w.words[1:]
+	return s
+}
+
+func (w *wordReader) expect(word string) {
+	if got := w.take(); got != word {
+		w.fail("%q where %q belongs", got, word)
+	}
+}
+
+func (w *wordReader) uint(what string, most uint64) uint64 {
+	s := w.take()
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil || n > most {
+		w.fail("%s %q is no whole number up to %d", what, s, most)
+	}
+	return n
+}
+
+func (w *wordReader) float(what string) float64 {
+	s := w.take()
+	x, err := strconv.ParseFloat(s, 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+		w.fail("%s %q is no finite number", what, s)
+	}
+	return x
+}
+
+func (w *wordReader) weight(c *Change) {
+	if c.Weight = w.float("weight"); w.err == nil && c.Weight <= 0 {
+		w.fail("weight %v is not above 0", c.Weight)
+	}
+}
+
+func (w *wordReader) table(s string, all bool) control.TableID {
+	if s == "*" && all {
+		return control.Everywhere
+	}
+	num, ok := strings.CutPrefix(s, "t")
+	n, err := strconv.ParseUint(num, 10, 16)
+	if !ok || err != nil || control.TableID(n) == control.Everywhere {
+		w.fail("%q is no table", s)
+	}
+	return control.TableID(n)
+}
+
+func (w *wordReader) endpoint(s string) control.EndpointID {
+	num, ok := strings.CutPrefix(s, "e")
+	n, err := strconv.ParseUint(num, 10, 32)
+	if !ok || err != nil {
+		w.fail("%q is no server", s)
+	}
+	return control.EndpointID(n)
+}
+
+// server reads T/E.
+func (w *wordReader) server(c *Change) {
+	table, server, ok := strings.Cut(w.take(), "/")
+	if !ok {
+		w.fail("%q is not TABLE/SERVER", table)
+		return
+	}
+	c.Table, c.Endpoint = w.table(table, false), w.endpoint(server)
+}
+
+// state reads the rest of set server */E state S.
+func (w *wordReader) state(c *Change) {
+	c.Verb = SetState
+	name := strings.TrimPrefix(w.take(), "*/")
+	if name == "*" {
+		c.Verb = ClearState
+	} else {
+		c.Endpoint = w.endpoint(name)
+	}
+	w.expect("state")
+	switch s := w.take(); {
+	case s == "ready":
+	case s == "drain" && c.Verb == SetState:
+		c.Out = true
+	default:
+		w.fail("state %q is not drain or ready", s)
+	}
+}
+
+func (w *wordReader) address(a *netip.AddrPort) {
+	s := w.take()
+	at, err := netip.ParseAddrPort(s)
+	if err != nil || at.Port() == 0 {
+		w.fail("%q is no address with a port", s)
+	}
+	*a = at
+}
+
+func (w *wordReader) types(c *Change) {
+	s := w.take()
+	if s == "*" {
+		return
+	}
+	for part := range strings.SplitSeq(s, ",") {
+		n, err := strconv.ParseUint(part, 10, 8)
+		if err != nil || n > 15 {
+			w.fail("%q is no list of op types", s)
+			return
+		}
+		c.OpTypes |= 1 << n
+	}
+}
+
+func (w *wordReader) again(c *Change) {
+	s := w.take()
+	for i, name := range agains {
+		if s == name {
+			c.Again = control.Again(i)
+			return
+		}
+	}
+	w.fail("%q is no way of trying again", s)
+}
+
+// Message is what a pilot orders of one proxy at one time; it is applied whole or not at all.
+type Message struct {
+	Pilot      string
+	Run        uint64 // of the pilot; a later start has a higher one
+	Number     uint64 // within the run and the proxy's session, from 1 up
+	At         time.Duration
+	Lines      int // what it costs the channel, its head included
+	Checkpoint int // below 0: none
+	Changes    []Change
+}
+
+// AppendHead appends the command line that opens a message; the changes' lines and an empty one follow.
+func (m *Message) AppendHead(b []byte) []byte {
+	b = append(append(b, "apply "...), Quote(m.Pilot)...)
+	b = strconv.AppendUint(append(b, ' '), m.Run, 10)
+	b = strconv.AppendUint(append(b, ' '), m.Number, 10)
+	b = strconv.AppendInt(append(b, " at "...), m.At.Microseconds(), 10)
+	b = strconv.AppendInt(append(b, " lines "...), int64(m.Lines), 10)
+	if m.Checkpoint >= 0 {
+		b = strconv.AppendInt(append(b, " checkpoint "...), int64(m.Checkpoint), 10)
+	}
+	return append(b, " <<\n"...)
+}
+
+// Append appends the whole message.
+func (m *Message) Append(b []byte) []byte {
+	b = m.AppendHead(b)
+	for _, c := range m.Changes {
+		b = append(c.Append(b), '\n')
+	}
+	return append(b, '\n')
+}
+
+// ParseMessage reads an apply command with its payload. One bad line refuses the whole.
+func ParseMessage(c Command) (*Message, error) {
+	w := &wordReader{words: c.Words}
+	w.expect("apply")
+	m := &Message{Pilot: w.take(), Checkpoint: -1}
+	m.Run, m.Number = w.uint("run", math.MaxUint64), w.uint("number", math.MaxUint64)
+	w.expect("at")
+	m.At = time.Duration(w.uint("time", math.MaxInt64/1000)) * time.Microsecond
+	w.expect("lines")
+	m.Lines = int(w.uint("lines", math.MaxInt32))
+	if len(w.words) > 0 {
+		w.expect("checkpoint")
+		m.Checkpoint = int(w.uint("checkpoint", math.MaxUint16))
+	}
+	if len(w.words) > 0 {
+		w.fail("%q is too much", w.words[0])
+	}
+	if w.err == nil && !c.HasPayload {
+		w.fail("a message without its changes")
+	}
+	if w.err != nil {
+		return nil, w.err
+	}
+	scan := Scanner{bounds: Orders}
+	m.Changes = make([]Change, 0, len(c.Payload))
+	for i, line := range c.Payload {
+		cmds, _, opened, err := scan.split(line)
+		if err == nil && (len(cmds) != 1 || opened) {
+			err = errors.New("not one command")
+		}
+		if err != nil {
+			return nil, fmt.Errorf("line %d: %w", i+1, err)
+		}
+		change, err := ParseChange(cmds[0].Words)
+		if err != nil {
+			return nil, fmt.Errorf("line %d: %q: %w", i+1, line, err)
+		}
+		m.Changes = append(m.Changes, change)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/session/session.go
@@ -0,0 +1,174 @@
+// Package session serves the runtime API to people and scripts in the manner of HAProxy's socket: a line of commands is
+// answered and the connection ends, unless "prompt" made it interactive; each reply ends with an empty line.
+package session
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"vetchdoor/runtime"
+	"vetchdoor/stream"
+)
+
+// Command is a command that a program answers.
+type Command struct {
+	Words string // that it begins with
+	Help  string
+	Do    func(w io.Writer, c runtime.Command) error
+}
+
+// Listener serves sessions.
+type Listener struct {
+	ln       *stream.Listener
+	banner   string
+	commands []Command
+}
+
+// most sessions at a time
+const mostSessions = 64
+
+// Listen serves commands at an address: unix:PATH, or HOST:PORT on a loopback address.
+func Listen(address, banner string, commands []Command) (*Listener, error) {
+	if host, _, err := net.SplitHostPort(address); err == nil && !strings.HasPrefix(address, "unix:") {
+		if ip := net.ParseIP(host); host != "localhost" && (ip == nil || !ip.IsLoopback()) {
+			return nil, fmt.Errorf("listen on %s: people are served on a Unix socket or a loopback address only", address)
+		}
+	}
+	l := &Listener{banner: banner, commands: slices.Clone(commands)}
+	slices.SortFunc(l.commands, func(a, b Command) int { return strings.Compare(a.Words, b.Words) })
+	var mu sync.Mutex
+	open := 0
+	var err error
+	l.ln, err = stream.Listen(address, func(c *stream.Conn) stream.Handler {
+		mu.Lock()
+		defer mu.Unlock()
+		if open >= mostSessions {
+			return nil
+		}
+		open++
+		return &conversation{l: l, scan: runtime.NewScanner(runtime.People), closed: func() {
+			mu.Lock()
+			open--
+			mu.Unlock()
+		}}
+	})
+	return l, err
+}
+
+// Address is where it listens.
+func (l *Listener) Address() string { return l.ln.Address() }
+
+// Close ends all sessions.
+func (l *Listener) Close() { l.ln.Close() }
+
+// conversation is one connection.
+type conversation struct {
+	l           *Listener
+	scan        *runtime.Scanner
+	interactive bool
+	done        bool
+	closed      func()
+}
+
+func (s *conversation) Closed(*stream.Conn) { s.closed() }
+
+func (s *conversation) Data(c *stream.Conn, b []byte) {
+	if s.done {
+		return
+	}
+	s.scan.Feed(b)
+	for !s.done {
+		line, ok, err := s.scan.Next()
+		if err != nil {
+			_ = c.Send([]byte(err.Error() + "\n\n"))
+			s.done = true
+			break
+		}
+		if !ok {
+			if s.interactive && s.scan.Waiting() {
+				_ = c.Send([]byte("+ "))
+			}
+			return
+		}
+		for _, cmd := range line {
+			_ = c.Send(s.answer(cmd))
+		}
+		if s.interactive && !s.done {
+			_ = c.Send([]byte("> "))
+		} else {
+			s.done = true
+		}
+	}
+	c.End()
+}
+
+// answer runs one command and returns its reply.
+func (s *conversation) answer(cmd runtime.Command) []byte {
+	var w bytes.Buffer
+	switch {
+	case cmd.Is("prompt"):
+		s.interactive = !s.interactive
+		return []byte("\n")
+	case cmd.Is("quit"):
+		s.done = true
+		return []byte("\n")
+	case cmd.Is("help"):
+		s.l.help(&w)
+	default:
+		if err := s.l.run(&w, cmd); err != nil {
+			w.Reset()
+			fmt.Fprintf(&w, "%s\n", strings.ReplaceAll(err.Error(), "\n", " "))
+		}
+	}
+	return append(w.Bytes(), '\n')
+}
+
+func (l *Listener) help(w io.Writer) {
+	fmt.Fprintf(w, "%s; the commands are:\n", l.banner)
+	for _, c := range l.commands {
+		fmt.Fprintf(w, "  %-28s: %s\n", c.Words, c.Help)
+	}
+	for _, c := range [][2]string{{"help", "this text"}, {"prompt", "toggles the interactive mode"}, {"quit", "ends the session"}} {
+		fmt.Fprintf(w, "  %-28s: %s\n", c[0], c[1])
+	}
+}
+
+// run finds the command with the longest beginning that fits.
+func (l *Listener) run(w io.Writer, cmd runtime.Command) error {
+	var best *Command
+	for i := range l.commands {
+		c := &l.commands[i]
+		if cmd.Is(strings.Fields(c.Words)...) && (best == nil || len(c.Words) > len(best.Words)) {
+			best = c
+		}
+	}
+	if best == nil {
+		return fmt.Errorf("Unknown command: %q. Try help.", cmd.String())
+	}
+	return best.Do(w, cmd)
+}
+
+// Ask sends commands to a listener and returns the replies.
+func Ask(address, line string, timeout time.Duration) (string, error) {
+	network, at := "tcp", address
+	if path, ok := strings.CutPrefix(address, "unix:"); ok {
+		network, at = "unix", path
+	}
+	c, err := net.DialTimeout(network, at, timeout)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(timeout))
+	if _, err := io.WriteString(c, strings.TrimSuffix(line, "\n")+"\n"); err != nil {
+		return "", err
+	}
+	reply, err := io.ReadAll(io.LimitReader(c, 64<<20))
+	return string(reply), err
+}
--- /dev/null
+++ b/stream/stream.go
@@ -0,0 +1,278 @@
+// Package stream is the thin layer between netpoll and the parsers: bytes that came go to one function, one call at a
+// time a connection; bytes to be sent are taken at once and written by another goroutine, within a bound. Whoever owns a
+// connection is told once that it has ended.
+package stream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// Handler takes what happens to a connection. Data's bytes hold only for the call. Closed comes once, after which there
+// is at most one call of Data still under way.
+type Handler interface {
+	Data(c *Conn, b []byte)
+	Closed(c *Conn)
+}
+
+// mostPending bounds the bytes that may wait to be written to a peer that does not read; past it the connection ends.
+const mostPending = 32 << 20
+
+// ErrSlow says that the peer read too little of what was sent to it.
+var ErrSlow = errors.New("stream: the peer does not read")
+
+// Conn is one connection.
+type Conn struct {
+	nc       netpoll.Connection
+	handler  Handler
+	mu       sync.Mutex
+	out      []byte
+	flushing bool
+	ending   bool // close once what is pending is written
+	once     sync.Once
+}
+
+// network splits an address: unix:PATH, or HOST:PORT.
+func network(address string) (net, addr string) {
+	if path, ok := strings.CutPrefix(address, "unix:"); ok {
+		return "unix", path
+	}
+	return "tcp", address
+}
+
+// Dial connects. No data comes to the handler before something was sent.
+func Dial(address string, timeout time.Duration, h Handler) (*Conn, error) {
+	n, a := network(address)
+	nc, err := netpoll.DialConnection(n, a, timeout)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	c := &Conn{nc: nc, handler: h}
+	if err := nc.SetOnRequest(func(context.Context, netpoll.Connection) error { c.read(); return nil }); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	return c, c.watch()
+}
+
+func (c *Conn) watch() error {
+	return c.nc.AddCloseCallback(func(netpoll.Connection) error { c.ended(); return nil })
+}
+
+func (c *Conn) ended() { c.once.Do(func() { c.handler.Closed(c) }) }
+
+// read hands what has come to the handler.
+func (c *Conn) read() {
+	r := c.nc.Reader()
+	for n := r.Len(); n > 0; n = r.Len() {
+		b, err := r.Next(n)
+		if err != nil {
+			return
+		}
+		c.handler.Data(c, b)
+		_ = r.Release()
+	}
+}
+
+// Remote is the peer's address.
+func (c *Conn) Remote() string {
+	if a := c.nc.RemoteAddr(); a != nil {
+		return a.String()
+	}
+	return ""
+}
+
+// Send takes bytes to be written; it never waits.
+func (c *Conn) Send(b []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending || !c.nc.IsActive() {
+		return net.ErrClosed
+	}
+	if len(c.out)+len(b) > mostPending {
+		c.ending, c.out = true, nil
+		go c.Close()
+		return ErrSlow
+	}
+	c.out = append(c.out, b...)
+	if !c.flushing {
+		c.flushing = true
+		go c.flush()
+	}
+	return nil
+}
+
+// Pending is how many bytes wait to be written.
+func (c *Conn) Pending() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.out)
+}
+
+func (c *Conn) flush() {
+	for {
+		c.mu.Lock()
+		b := c.out
+		if len(b) == 0 {
+			c.flushing = false
+			ending := c.ending
+			c.mu.Unlock()
+			if ending {
+				c.Close()
+			}
+			return
+		}
+		c.mu.Unlock()
+		part := b[:min(len(b), 256<<10)]
+		// Write, not Writer: netpoll gives its buffers back when a connection closes, and only Write is safe beside that.
+		if _, err := c.nc.Write(part); err == nil {
+			c.mu.Lock()
+			if c.out = c.out[len(part):]; len(c.out) == 0 {
+				c.out = nil
+			}
+			c.mu.Unlock()
+			continue
+		}
+		c.mu.Lock()
+		c.out, c.flushing = nil, false
+		c.mu.Unlock()
+		c.Close()
+		return
+	}
+}
+
+// End closes the connection once all that was sent is written.
+func (c *Conn) End() {
+	c.mu.Lock()
+	c.ending = true
+	flushing := c.flushing
+	c.mu.Unlock()
+	if !flushing {
+		c.Close()
+	}
+}
+
+// Close closes the connection at once. The handler is told.
+func (c *Conn) Close() {
+	_ = c.nc.Close()
+	c.ended()
+}
+
+// Listener accepts connections.
+type Listener struct {
+	address string
+	loop    netpoll.EventLoop
+	ln      netpoll.Listener
+	mu      sync.Mutex
+	conns   map[*Conn]bool
+	done    chan struct{}
+	path    string
+}
+
+type connKey struct{}
+
+// Listen accepts connections on an address, unix:PATH or HOST:PORT (port 0: any that is free), until Close. accept
+// returns who handles a new one; nil refuses it.
+func Listen(address string, accept func(c *Conn) Handler) (*Listener, error) {
+	n, a := network(address)
+	if n == "unix" {
+		if err := dropStale(a); err != nil {
+			return nil, err
+		}
+	}
+	ln, err := netpoll.CreateListener(n, a)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	l := &Listener{address: address, ln: ln, conns: map[*Conn]bool{}, done: make(chan struct{})}
+	if n == "tcp" {
+		l.address = ln.Addr().String()
+	} else {
+		l.path = a
+	}
+	prepare := func(nc netpoll.Connection) context.Context {
+		c := &Conn{nc: nc}
+		if c.handler = accept(c); c.handler == nil {
+			_ = nc.Close()
+			return context.Background()
+		}
+		l.mu.Lock()
+		closed := l.conns == nil
+		if !closed {
+			l.conns[c] = true
+		}
+		l.mu.Unlock()
+		err := nc.AddCloseCallback(func(netpoll.Connection) error {
+			l.mu.Lock()
+			delete(l.conns, c)
+			l.mu.Unlock()
+			c.ended()
+			return nil
+		})
+		if closed || err != nil {
+			c.Close()
+		}
+		return context.WithValue(context.Background(), connKey{}, c)
+	}
+	request := func(ctx context.Context, nc netpoll.Connection) error {
+		if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+			c.read()
+			return nil
+		}
+		return nc.Close()
+	}
+	if l.loop, err = netpoll.NewEventLoop(request, netpoll.WithOnPrepare(prepare)); err != nil {
+		ln.Close()
+		return nil, err
+	}
+	go func() {
+		defer close(l.done)
+		_ = l.loop.Serve(ln)
+	}()
+	return l, nil
+}
+
+// dropStale removes a Unix socket that nobody listens on any more.
+func dropStale(path string) error {
+	info, err := os.Lstat(path)
+	if err != nil {
+		return nil
+	}
+	if info.Mode()&os.ModeSocket == 0 {
+		return fmt.Errorf("listen on unix:%s: there is something else at that path", path)
+	}
+	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
+		c.Close()
+		return fmt.Errorf("listen on unix:%s: somebody listens there", path)
+	}
+	return os.Remove(path)
+}
+
+// Address is where it listens.
+func (l *Listener) Address() string { return l.address }
+
+// Close stops listening and closes all its connections.
+func (l *Listener) Close() {
+	l.mu.Lock()
+	conns := l.conns
+	l.conns = nil
+	l.mu.Unlock()
+	for c := range conns {
+		c.Close()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = l.loop.Shutdown(ctx)
+	<-l.done
+	if l.path != "" {
+		_ = os.Remove(l.path)
+	}
+}
--- /dev/null
+++ b/upstream/upstream.go
@@ -0,0 +1,335 @@
+// Package upstream sends HTTP/1.1 requests over pooled netpoll connections, one request a connection at a time. Send is
+// the way in. What went wrong it tells by whether the request may have run, since that decides whether it may be sent
+// again.
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"vetchdoor/http1"
+)
+
+// Failure is how a request went without an answer.
+type Failure struct {
+	Unrun   bool // surely nothing of it was sent
+	Timeout bool
+	Gone    bool // given up by the caller
+	Err     error
+}
+
+func (f *Failure) Error() string { return f.Err.Error() }
+func (f *Failure) Unwrap() error { return f.Err }
+
+// Pool keeps the connections to servers. Its fields are set before the first Send.
+type Pool struct {
+	Bounds         http1.Bounds
+	PerServer      int           // connections to one server at most; 0: 256
+	IdleClose      time.Duration // 0: 15 seconds
+	ConnectTimeout time.Duration // 0: 250 milliseconds
+
+	mu      sync.Mutex
+	servers map[string]*server
+	closed  bool
+	stop    chan struct{}
+	Opened  atomic.Int64 // connections opened so far
+	open    atomic.Int64
+}
+
+type server struct {
+	idle []*conn // the newest last
+	open int
+}
+
+type conn struct {
+	nc     netpoll.Connection
+	parser *http1.Parser
+	server string
+	since  time.Time // idle since
+}
+
+// errFull says that all connections to a server are in use.
+var errFull = errors.New("upstream: all connections in use")
+
+// Open is how many connections are open now.
+func (p *Pool) Open() int64 { return p.open.Load() }
+
+func (p *Pool) init() {
+	if p.servers != nil {
+		return
+	}
+	p.servers, p.stop = map[string]*server{}, make(chan struct{})
+	if p.PerServer <= 0 {
+		p.PerServer = 256
+	}
+	if p.IdleClose <= 0 {
+		p.IdleClose = 15 * time.Second
+	}
+	if p.ConnectTimeout <= 0 {
+		p.ConnectTimeout = 250 * time.Millisecond
+	}
+	if p.Bounds == (http1.Bounds{}) {
+		p.Bounds = http1.Usual
+	}
+	go p.sweep()
+}
+
+// Call is one request under way; another goroutine may give it up.
+type Call struct {
+	mu   sync.Mutex
+	nc   netpoll.Connection
+	gone bool
+}
+
+// GiveUp ends the call: its connection ends, which is what tells the server. It is shut down, not closed: netpoll would
+// take its buffers back while the caller still reads from them.
+func (c *Call) GiveUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gone = true
+	if fd, ok := c.nc.(netpoll.Conn); ok {
+		_ = syscall.Shutdown(fd.Fd(), syscall.SHUT_RDWR)
+	}
+}
+
+func (c *Call) given() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gone
+}
+
+// hold notes the connection in use; false if the call was given up meanwhile.
+func (c *Call) hold(nc netpoll.Connection) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nc = nc
+	return !c.gone
+}
+
+// Answer is a response. Its message holds until Release, which must be called.
+type Answer struct {
+	*http1.Message
+	pool *Pool
+	conn *conn
+}
+
+// Release gives the connection back.
+func (a *Answer) Release() {
+	c := a.conn
+	keep := !a.Close
+	if size := a.Size; keep {
+		r := c.nc.Reader()
+		keep = r.Skip(size) == nil && r.Release() == nil && r.Len() == 0
+		c.parser.Next()
+	}
+	a.pool.put(c, keep)
+}
+
+// Send sends a request, whole in req, and waits for its answer until the deadline. head says that no body will answer.
+func (p *Pool) Send(call *Call, address string, req []byte, deadline time.Time, head bool) (*Answer, *Failure) {
+	c, fail := p.get(call, address, deadline)
+	if fail != nil {
+		return nil, fail
+	}
+	if !call.hold(c.nc) {
+		p.put(c, false)
+		return nil, &Failure{Unrun: true, Gone: true, Err: errors.New("upstream: given up")}
+	}
+	a, f := p.exchange(call, c, req, deadline, head)
+	call.hold(nil)
+	if f != nil {
+		p.put(c, false)
+	}
+	return a, f
+}
+
+func (p *Pool) exchange(call *Call, c *conn, req []byte, deadline time.Time, head bool) (*Answer, *Failure) {
+	fail := func(err error) *Failure {
+		f := &Failure{Err: fmt.Errorf("%s: %w", c.server, err), Timeout: errors.Is(err, netpoll.ErrReadTimeout)}
+		f.Gone = call.given()
+		return f
+	}
+	left := time.Until(deadline)
+	if left <= 0 {
+		f := fail(netpoll.ErrReadTimeout)
+		f.Unrun = true
+		return nil, f
+	}
+	_ = c.nc.SetWriteTimeout(left)
+	if _, err := c.nc.Write(req); err != nil {
+		return nil, fail(err)
+	}
+	if head {
+		c.parser.ForHead()
+	}
+	r := c.nc.Reader()
+	for {
+		n := r.Len()
+		if n > 0 {
+			b, err := r.Peek(n)
+			if err != nil {
+				return nil, fail(err)
+			}
+			m, err := c.parser.Parse(b, false)
+			if err == nil && m.Status < 200 {
+				if r.Skip(m.Size) != nil {
+					return nil, fail(netpoll.ErrConnClosed)
+				}
+				c.parser.Next()
+				if head {
+					c.parser.ForHead()
+				}
+				continue
+			}
+			if err == nil {
+				return &Answer{Message: m, pool: p, conn: c}, nil
+			}
+			if !errors.Is(err, http1.ErrMore) {
+				return nil, fail(err)
+			}
+		}
+		if left = time.Until(deadline); left <= 0 {
+			return nil, fail(netpoll.ErrReadTimeout)
+		}
+		_ = c.nc.SetReadTimeout(left)
+		if _, err := r.Peek(n + 1); err != nil {
+			if n = r.Len(); n > 0 && !errors.Is(err, netpoll.ErrReadTimeout) {
+				if b, perr := r.Peek(n); perr == nil {
+					if m, perr := c.parser.Parse(b, true); perr == nil {
+						return &Answer{Message: m, pool: p, conn: c}, nil
+					}
+				}
+			}
+			return nil, fail(err)
+		}
+	}
+}
+
+// get takes an idle connection or opens one.
+func (p *Pool) get(call *Call, address string, deadline time.Time) (*conn, *Failure) {
+	p.mu.Lock()
+	p.init()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, &Failure{Unrun: true, Err: errors.New("upstream: the pool is closed")}
+	}
+	s := p.servers[address]
+	if s == nil {
+		s = &server{}
+		p.servers[address] = s
+	}
+	for len(s.idle) > 0 {
+		c := s.idle[len(s.idle)-1]
+		s.idle = s.idle[:len(s.idle)-1]
+		if c.nc.IsActive() && c.nc.Reader().Len() == 0 {
+			p.mu.Unlock()
+			return c, nil
+		}
+		p.drop(s, c)
+	}
+	if s.open >= p.PerServer {
+		p.mu.Unlock()
+		return nil, &Failure{Unrun: true, Err: fmt.Errorf("%s: %w", address, errFull)}
+	}
+	s.open++
+	p.mu.Unlock()
+	timeout := min(p.ConnectTimeout, time.Until(deadline))
+	var nc netpoll.Connection
+	err := error(netpoll.ErrDialTimeout)
+	if timeout > 0 {
+		nc, err = netpoll.DialConnection("tcp", address, timeout)
+	}
+	if err != nil {
+		p.mu.Lock()
+		s.open--
+		p.mu.Unlock()
+		return nil, &Failure{Unrun: true, Err: fmt.Errorf("dial %s: %w", address, err)}
+	}
+	p.Opened.Add(1)
+	p.open.Add(1)
+	return &conn{nc: nc, server: address, parser: http1.Responses(p.Bounds)}, nil
+}
+
+// drop closes a connection; p.mu is held.
+func (p *Pool) drop(s *server, c *conn) {
+	s.open--
+	p.open.Add(-1)
+	go c.nc.Close()
+}
+
+func (p *Pool) put(c *conn, keep bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[c.server]
+	if !keep || p.closed || !c.nc.IsActive() {
+		p.drop(s, c)
+		return
+	}
+	c.since = time.Now()
+	s.idle = append(s.idle, c)
+}
+
+// Forget closes the idle connections to a server that ops no longer go to.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[address]; s != nil {
+		for _, c := range s.idle {
+			p.drop(s, c)
+		}
+		s.idle = nil
+	}
+}
+
+// sweep closes what stood idle too long.
+func (p *Pool) sweep() {
+	t := time.NewTicker(max(p.IdleClose/4, 10*time.Millisecond))
+	defer t.Stop()
+	for {
+		select {
+		case <-p.stop:
+			return
+		case now := <-t.C:
+			p.mu.Lock()
+			for address, s := range p.servers {
+				kept := s.idle[:0]
+				for _, c := range s.idle {
+					if now.Sub(c.since) > p.IdleClose || !c.nc.IsActive() {
+						p.drop(s, c)
+					} else {
+						kept = append(kept, c)
+					}
+				}
+				clear(s.idle[len(kept):])
+				if s.idle = kept; s.open == 0 {
+					delete(p.servers, address)
+				}
+			}
+			p.mu.Unlock()
+		}
+	}
+}
+
+// Close closes the idle connections; those in use are closed as they come back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.init()
+	if p.closed {
+		return
+	}
+	p.closed = true
+	close(p.stop)
+	for _, s := range p.servers {
+		for _, c := range s.idle {
+			p.drop(s, c)
+		}
+		s.idle = nil
+	}
+}
