--- a/serve/serve.go
+++ b/serve/serve.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"vetchdoor/http1"
+	"vetchdoor/stream"
 )
 
 // sweepEvery is how often connections are looked over for peers that send ahead without bound.
@@ -28,7 +28,6 @@
 	Slow   time.Duration                   // a request must be whole this long after its first byte; 0: ten seconds
 
 	loop    netpoll.EventLoop
-	ln      netpoll.Listener
 	address string
 	mu      sync.Mutex
 	conns   map[*Conn]bool
@@ -68,11 +67,11 @@
 		s.Slow = 10 * time.Second
 	}
 	s.conns, s.stop, s.done = map[*Conn]bool{}, make(chan struct{}), make(chan struct{})
-	ln, err := netpoll.CreateListener("tcp", address)
+	ln, err := stream.NewListener("tcp", address)
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
+		return err
 	}
-	s.ln, s.address = ln, ln.Addr().String()
+	s.address = ln.Addr().String()
 	s.loop, err = netpoll.NewEventLoop(s.request, netpoll.WithOnPrepare(s.prepare),
 		netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) {
 			if c, ok := ctx.Value(key{}).(*Conn); ok { // the close callback would wait for the request under way
@@ -266,7 +265,7 @@
 	if s.closing.Swap(true) {
 		return
 	}
-	_ = s.ln.Close()
+	stream.Shutdown(ctx, s.loop, s.done)
 	for s.busy.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(2 * time.Millisecond)
 	}
@@ -280,8 +279,4 @@
 	for _, c := range left {
 		c.Drop()
 	}
-	short, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
-	defer cancel()
-	_ = s.loop.Shutdown(short)
-	<-s.done
 }
--- /dev/null
+++ b/stream/listener.go
@@ -0,0 +1,115 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// NewListener listens for netpoll. Its own listeners close their descriptor twice, which in a process that opens others
+// meanwhile closes one of those; this one closes it once, and accepts nothing after.
+func NewListener(network, address string) (netpoll.Listener, error) {
+	ln, err := net.Listen(network, address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	f, ok := ln.(interface{ File() (*os.File, error) })
+	if !ok {
+		ln.Close()
+		return nil, fmt.Errorf("listen on %s: no descriptor", address)
+	}
+	file, err := f.File()
+	if err == nil {
+		err = syscall.SetNonblock(int(file.Fd()), true)
+	}
+	if err != nil {
+		ln.Close()
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return &listener{ln: ln, file: file, fd: int(file.Fd()), network: network}, nil
+}
+
+type listener struct {
+	ln      net.Listener
+	file    *os.File
+	fd      int
+	network string
+	mu      sync.Mutex
+	closed  bool
+}
+
+// accepted is a connection as netpoll takes it over: a descriptor and its addresses.
+type accepted struct {
+	net.Conn // none: netpoll reads and writes by the descriptor
+	fd       int
+	local    net.Addr
+	remote   net.Addr
+}
+
+func (a *accepted) Fd() int              { return a.fd }
+func (a *accepted) LocalAddr() net.Addr  { return a.local }
+func (a *accepted) RemoteAddr() net.Addr { return a.remote }
+
+// Accept returns nil and no error where nobody waits, as netpoll expects it.
+func (l *listener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, net.ErrClosed
+	}
+	fd, sa, err := syscall.Accept4(l.fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+	switch {
+	case errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED):
+		return nil, nil
+	case err != nil:
+		return nil, os.NewSyscallError("accept4", err)
+	}
+	a := &accepted{fd: fd, local: l.ln.Addr()}
+	switch sa := sa.(type) {
+	case *syscall.SockaddrInet4:
+		a.remote = &net.TCPAddr{IP: append(net.IP(nil), sa.Addr[:]...), Port: sa.Port}
+	case *syscall.SockaddrInet6:
+		a.remote = &net.TCPAddr{IP: append(net.IP(nil), sa.Addr[:]...), Port: sa.Port}
+	default:
+		a.remote = &net.UnixAddr{Net: "unix"}
+	}
+	if l.network == "tcp" {
+		_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
+	}
+	return a, nil
+}
+
+func (l *listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	l.file.Close()
+	return l.ln.Close()
+}
+
+func (l *listener) Addr() net.Addr { return l.ln.Addr() }
+func (l *listener) Fd() int        { return l.fd }
+
+// Shutdown ends an event loop that serves in another goroutine, which closes done as it returns: no new connections,
+// those that are idle closed, those with a call under way waited for until the context ends. A loop that has not come
+// to serve yet is ended as soon as it has.
+func Shutdown(ctx context.Context, loop netpoll.EventLoop, done <-chan struct{}) {
+	for {
+		_ = loop.Shutdown(ctx)
+		select {
+		case <-done:
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+}
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -170,7 +170,6 @@
 type Listener struct {
 	address string
 	loop    netpoll.EventLoop
-	ln      netpoll.Listener
 	mu      sync.Mutex
 	conns   map[*Conn]bool
 	done    chan struct{}
@@ -188,11 +187,11 @@
 			return nil, err
 		}
 	}
-	ln, err := netpoll.CreateListener(n, a)
+	ln, err := NewListener(n, a)
 	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
+		return nil, err
 	}
-	l := &Listener{address: address, ln: ln, conns: map[*Conn]bool{}, done: make(chan struct{})}
+	l := &Listener{address: address, conns: map[*Conn]bool{}, done: make(chan struct{})}
 	if n == "tcp" {
 		l.address = ln.Addr().String()
 	} else {
@@ -268,10 +267,9 @@
 	for c := range conns {
 		c.Close()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_ = l.loop.Shutdown(ctx)
-	<-l.done
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	Shutdown(ctx, l.loop, l.done)
 	if l.path != "" {
 		_ = os.Remove(l.path)
 	}
