Tests that cut, stall and lie to the pilot; a race at its start found by them

Need: the runtime API's guarantees were built but not shown. Change: tests over sockets with a scripted module: a message resent across a cut in each phase is effective once, a stalled proxy fills its window and then the channel and holds up nobody else, a full channel ends that session only, rubbish and strangers are refused, half-open streams give way, a killed pilot has its list, a torn copy is not used, a panic starts the module afresh. The pilot's start logged the list's size after the loop owned it; now before.

--- /dev/null
+++ b/pilot/book_test.go
@@ -0,0 +1,143 @@
+package pilot
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"vetchdoor/control"
+	"vetchdoor/runtime"
+)
+
+func at(e control.EndpointID) (runtime.Server, bool) {
+	return runtime.Server{Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(8000+e)), Zone: int(e % 2)}, e < 100
+}
+
+// text writes messages one a line: proxy, number, lines, checkpoint, changes.
+func text(ms []outgoing) string {
+	var out []string
+	for _, m := range ms {
+		s := fmt.Sprintf("p%d #%d %d", m.proxy, m.Number, m.Lines)
+		if m.Checkpoint >= 0 {
+			s += fmt.Sprintf(" ?%d", m.Checkpoint)
+		}
+		for _, c := range m.Changes {
+			s += "; " + c.String()
+		}
+		out = append(out, s)
+	}
+	return strings.Join(out, "\n")
+}
+
+// Orders become one message for each proxy concerned, whole tables for those newly bound, and nobody else hears.
+func TestBook(t *testing.T) {
+	b := newBook(2, 3, at)
+	b.join(1, []control.EndpointID{7}, false, 0)
+	b.join(2, nil, true, 41)
+	step := func(name, want string, orders ...control.Order) {
+		t.Helper()
+		got, _ := b.write(orders)
+		if text(got) != want {
+			t.Errorf("%s:\n%s\nwant\n%s", name, text(got), want)
+		}
+	}
+	step("a table nobody is on", "", control.PutLine{Table: 0, Endpoint: 5, Weight: 2}, control.PutLine{Table: 0, Endpoint: 6, Weight: 1},
+		control.Checkpoint{Number: 1})
+	step("level for all", "p1 #1 5 ?2; set level * 0 0.5 again if-unrun\np2 #42 5 ?2; set level * 0 0.5 again if-unrun",
+		control.SetLevel{Table: control.Everywhere, OpTypes: 1, Level: 0.5, Again: control.IfUnrun}, control.Checkpoint{Number: 2})
+	step("withdrawn: of standing or unknown tables", "p1 #2 4; set server */e7 state drain\np2 #43 4; set server */e7 state drain",
+		control.Suspend{Endpoint: 7, Out: true})
+	step("withdrawn: who may hold it", "p2 #44 4; set server */e6 state drain", control.Suspend{Endpoint: 6, Out: true})
+	step("bind", "p1 #3 11 ?3; set server */* state ready; set server */e7 state drain; clear table t0; "+
+		"add server t0/e5 127.0.0.1:8005 weight 2 zone 1 pack 0; set server */e6 state drain; "+
+		"add server t0/e6 127.0.0.1:8006 weight 1 zone 0 pack 0; set map op-types * t0",
+		control.Bind{Table: 0, Proxy: 1}, control.Checkpoint{Number: 3})
+	step("weight, new line, dropped line", "p1 #4 6; set server t0/e5 weight 3; add server t0/e9 127.0.0.1:8009 weight 1 zone 1 pack 0; del server t0/e6",
+		control.PutLine{Table: 0, Endpoint: 5, Weight: 3}, control.PutLine{Table: 0, Endpoint: 9, Weight: 1},
+		control.PutLine{Table: 0, Endpoint: 6})
+	step("back in: all who were told", "p1 #5 4; set server */e6 state ready\np2 #45 4; set server */e6 state ready", control.Suspend{Endpoint: 6})
+	step("nobody new is told twice", "", control.Suspend{Endpoint: 6}, control.PutLine{Table: 0, Endpoint: 6}, control.PutLine{Table: 0, Endpoint: 100, Weight: 1})
+	step("checkpoint to all", "p1 #6 4 ?4\np2 #46 4 ?4", control.Checkpoint{Number: 4, All: true})
+	if n := b.leave(1); n != 6 {
+		t.Errorf("left at %d", n)
+	}
+	b.join(1, nil, true, 6)
+	step("bound for one type, the other keeps what it has", "p1 #7 11; set server */* state ready; set server */e7 state drain; clear table t0; "+
+		"add server t0/e5 127.0.0.1:8005 weight 3 zone 1 pack 0; add server t0/e9 127.0.0.1:8009 weight 1 zone 1 pack 0; set map op-types 1 t0; "+
+		"set server */e50 state drain; set level * 0 0.5 again if-unrun\np2 #47 4; set server */e50 state drain",
+		control.Bind{Table: 0, Proxy: 1, OpTypes: 2}, control.Suspend{Endpoint: 50, Out: true})
+}
+
+// The channel keeps its pace and its bound, and one that is slow holds up only itself.
+func TestChannel(t *testing.T) {
+	c := newChannel(1000, 100)
+	msg := func(p control.ProxyID, n uint64, lines int) outgoing {
+		return outgoing{p, &runtime.Message{Number: n, Lines: lines}}
+	}
+	for i := range 5 {
+		if !c.push(msg(control.ProxyID(i%2), uint64(i), 20)) {
+			t.Fatal("no room below the bound")
+		}
+	}
+	if c.push(msg(1, 9, 1)) {
+		t.Fatal("took a line past the bound")
+	}
+	shut := func(id control.ProxyID, lines int) bool { return id != 0 }
+	var sent []uint64
+	now := time.Second
+	for {
+		m, ok, wait := c.next(now, shut)
+		if !ok && wait < 0 {
+			break
+		}
+		if !ok {
+			now += wait
+			continue
+		}
+		sent = append(sent, m.Number)
+	}
+	if !reflect.DeepEqual(sent, []uint64{1, 3}) || c.waiting != 60 {
+		t.Fatalf("sent %v, %d lines wait", sent, c.waiting)
+	}
+	if took := now - time.Second; took < 15*time.Millisecond || took > 40*time.Millisecond {
+		t.Fatalf("40 lines at 1000 a second took %v", took)
+	}
+	if !c.again([]outgoing{msg(0, 100, 10)}) || c.again([]outgoing{msg(0, 101, 31)}) {
+		t.Fatal("what comes again counts")
+	}
+	now += time.Second
+	if m, ok, _ := c.next(now, func(control.ProxyID, int) bool { return true }); !ok || m.Number != 100 {
+		t.Fatalf("what comes again leaves first: %d", m.Number)
+	}
+	c.drop(0)
+	if c.waiting != 0 || len(c.queue) != 0 {
+		t.Fatalf("%d lines wait after the drop", c.waiting)
+	}
+}
+
+// Sums of a zone add up; more than the pilot may take in wait, the oldest first, and add up meanwhile.
+func TestIntake(t *testing.T) {
+	in := newIntake(3, 1)
+	in.add(time.Second, 1, 0, &runtime.Sums{Window: time.Second, Types: []runtime.TypeSum{{OpType: 0, Ops: 5, Unacked: 9}},
+		Servers: []runtime.ServerSum{{Endpoint: 4, Tries: 4, Failed: 1, Latency: 10 * time.Millisecond, Load: []float64{0.5}}}})
+	in.add(1100*time.Millisecond, 2, 0, &runtime.Sums{Window: time.Second,
+		Servers: []runtime.ServerSum{{Endpoint: 4, Tries: 1, Latency: 60 * time.Millisecond, Load: []float64{0.7, 1}}, {Endpoint: 5, Tries: 1, Failed: 5}}})
+	in.add(1200*time.Millisecond, 3, 1, &runtime.Sums{Window: time.Second, Servers: []runtime.ServerSum{{Endpoint: 4, Tries: 2, Failed: 2}}})
+	got := in.take(time.Second)
+	want := []control.Event{
+		control.Digest{Zone: 0, Endpoint: 4, Tries: 5, Failed: 1, Latency: 22500 * time.Microsecond, Window: 1100 * time.Millisecond, Load: []float64{0.5}},
+		control.Digest{Zone: 0, Endpoint: 5, Tries: 1, Failed: 1, Window: time.Second},
+		control.Digest{Zone: 1, Endpoint: 4, Tries: 2, Failed: 2, Window: time.Second},
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("%+v", got)
+	}
+	in.add(2*time.Second, 1, 0, &runtime.Sums{Window: time.Second, Types: []runtime.TypeSum{{OpType: 0, Ops: 5}}})
+	got = in.take(time.Second)
+	if len(got) != 1 || !reflect.DeepEqual(got[0], control.Arrivals{Proxy: 1, Ops: 10, Unacked: 5, Window: 2 * time.Second}) {
+		t.Fatalf("%+v", got)
+	}
+}
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -134,8 +134,8 @@
 	}
 	p.done.Add(1)
 	go func() { defer p.done.Done(); p.source.Run(ctx) }()
+	p.log.Info("pilot runs", "listen", p.ln.Address(), "run", p.run, "list", len(p.list)) // before the loop owns the list
 	go p.loop()
-	p.log.Info("pilot runs", "listen", p.ln.Address(), "run", p.run, "list", len(p.list))
 	return nil
 }
 
--- /dev/null
+++ b/pilot/pilot_test.go
@@ -0,0 +1,417 @@
+package pilot
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"vetchdoor/control"
+	"vetchdoor/files"
+	"vetchdoor/lab/link"
+	stand "vetchdoor/lab/roster"
+	"vetchdoor/proxy"
+	"vetchdoor/roster"
+	"vetchdoor/runtime"
+	sessions "vetchdoor/session"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*defaultPoll).Wait"),
+		goleak.IgnoreAnyFunction("github.com/bytedance/gopkg/util/gopool.(*worker).run.func1"))
+}
+
+// script is a module that orders what a test says and remembers what it was told.
+type script struct {
+	mu     sync.Mutex
+	events []control.Event
+	next   [][]control.Order
+}
+
+func (s *script) Decide(now time.Duration, events []control.Event) (out []control.Order) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, events...)
+	for _, e := range events {
+		if r, ok := e.(control.Ring); ok && r.Label == 666 {
+			panic("as the test asked")
+		}
+	}
+	for _, orders := range s.next {
+		out = append(out, orders...)
+	}
+	s.next = nil
+	return out
+}
+
+func count[T any](s *script) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.events {
+		if _, ok := e.(T); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// order has the pilot order something at once.
+func (r *rig) order(orders ...control.Order) {
+	r.module.mu.Lock()
+	r.module.next = append(r.module.next, orders)
+	r.module.mu.Unlock()
+	r.p.post(func() { r.p.event(control.Ring{}) })
+	r.until("ordered", func() bool { r.module.mu.Lock(); defer r.module.mu.Unlock(); return len(r.module.next) == 0 })
+}
+
+// rig is a pilot with a scripted module behind a relay.
+type rig struct {
+	t      *testing.T
+	module *script
+	p      *Pilot
+	list   *stand.Server
+	tap    *link.Tap
+	link   *link.Link
+}
+
+func quick() time.Duration { return 0 }
+
+func entries() []roster.Entry {
+	var out []roster.Entry
+	for i := range control.EndpointID(4) {
+		s, _ := at(i)
+		out = append(out, roster.Entry{Endpoint: i, Address: s.Address, Zone: "z", Weight: 1, Mode: "ready"})
+	}
+	return out
+}
+
+func service() files.Service {
+	return files.Service{Zones: []string{"z"}, Bootstrap: 2, ReportEvery: files.Duration(50 * time.Millisecond), OpTypes: []files.OpType{
+		{Name: "a", TargetLatency: files.Duration(time.Second), OpTimeout: files.Duration(2 * time.Second), Repeat: "retryable"}}}
+}
+
+func pilotFile(listAt string) *files.Pilot {
+	return &files.Pilot{Kind: "pilot", Name: "p", Zone: "z", Proxies: 2, Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Tick: files.Duration(200 * time.Microsecond), Roster: listAt,
+		Seed: 1, Service: service(), Resume: files.Duration(5 * time.Second), Silent: files.Duration(20 * time.Second),
+		Limits: files.Limits{EmptyFor: 1, DrainGrace: 1}, Channel: files.Channel{LinesPerSecond: 1e6, MessageLines: 3, MostWaiting: 8000, ReportLinesPerSecond: 1000}}
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, module: &script{}}
+	var err error
+	if r.list, err = stand.Start("127.0.0.1:0", entries()); err != nil {
+		t.Fatal(err)
+	}
+	r.start(pilotFile(r.list.Address()))
+	r.tap = link.NewTap(time.Now())
+	if r.link, err = link.Open("stream 1 0", r.p.Address(), r.tap, quick, quick); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.p.Stop(); r.link.Close(); r.list.Close() })
+	r.until("the list came", func() bool { return count[control.Listing](r.module) == 2 })
+	return r
+}
+
+func (r *rig) start(f *files.Pilot) {
+	p, err := New(f, slog.New(slog.DiscardHandler))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	p.newDecider = func() decider { return r.module }
+	if err := p.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	r.p = p
+}
+
+// until waits for something that must come, however slow the machine.
+func (r *rig) until(what string, ok func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(200 * time.Microsecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// proxy joins through the relay; stall, if not nil, holds up its messages.
+func (r *rig) proxy(id uint16, address string, stall func(*runtime.Message) time.Duration) *proxy.Proxy {
+	r.t.Helper()
+	f := &files.Proxy{Kind: "proxy", ID: id, Zone: "z", Listen: "127.0.0.1:0", Redial: files.Duration(10 * time.Millisecond), Service: service(),
+		Pilots: []files.PilotAddress{{Address: address, Zone: "z"}}, Silent: files.Duration(20 * time.Second)}
+	x, err := proxy.New(f, slog.New(slog.DiscardHandler))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	x.ApplyFor = stall
+	if err := x.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(x.Kill)
+	return x
+}
+
+func table(weights ...float64) (out []control.Order) {
+	for i, w := range weights {
+		out = append(out, control.PutLine{Table: 0, Endpoint: control.EndpointID(i), Weight: w})
+	}
+	return out
+}
+
+// A message resent across a cut in each phase takes effect once, the module sees one confirmation and no leaving.
+func TestResentAcrossACut(t *testing.T) {
+	for _, phase := range []string{"before", "during", "after", "confirm lost"} {
+		t.Run(phase, func(t *testing.T) {
+			r := newRig(t)
+			var mu sync.Mutex
+			stall := time.Duration(0)
+			x := r.proxy(1, r.link.Address(), func(*runtime.Message) time.Duration { mu.Lock(); defer mu.Unlock(); return stall })
+			r.until("joined", func() bool { return count[control.Joined](r.module) == 1 })
+			r.order(append(table(1, 2), control.Bind{Proxy: 1}, control.Checkpoint{Number: 1})...)
+			r.until("bound", func() bool { return count[control.InForce](r.module) == 1 })
+			has := func(s string) func() bool { return func() bool { return strings.Contains(x.Stat(), s) } }
+			change := []control.Order{control.PutLine{Table: 0, Endpoint: 0, Weight: 9}, control.Checkpoint{Number: 2}}
+			switch phase {
+			case "before":
+				r.link.Lose(link.Down)
+				r.order(change...)
+				r.until("sent", func() bool { return strings.Contains(r.ask("show info"), "\nMessages: 2\n") })
+				r.link.Heal()
+			case "during":
+				mu.Lock()
+				stall = time.Hour
+				mu.Unlock()
+				r.order(change...)
+				r.until("taken in", func() bool { return strings.Contains(passed(r.tap, link.Down), "apply p "+fmt.Sprint(r.p.run)+" 2 ") })
+				mu.Lock()
+				stall = 0
+				mu.Unlock()
+				r.link.Break()
+			case "after":
+				r.order(change...)
+				r.until("applied", has("e0,UP,9"))
+				r.link.Break()
+			case "confirm lost":
+				r.link.Lose(link.Up)
+				r.order(change...)
+				r.until("applied", has("e0,UP,9"))
+				r.link.Heal()
+			}
+			r.until("in force", func() bool { return count[control.InForce](r.module) == 2 })
+			r.order(control.PutLine{Table: 0, Endpoint: 1, Weight: 7}, control.Checkpoint{Number: 3})
+			r.until("goes on", func() bool { return count[control.InForce](r.module) == 3 })
+			if !has("e0,UP,9")() || !has("e1,UP,7")() || !strings.Contains(x.Info(), "\nApplied: 3\n") {
+				t.Errorf("%s\n%s", x.Info(), x.Stat())
+			}
+			if n := count[control.Left](r.module); n != 0 {
+				t.Errorf("%d left", n)
+			}
+		})
+	}
+}
+
+func (r *rig) ask(cmd string) string {
+	s, err := sessions.Ask(r.p.AdminAddress(), cmd, 10*time.Second)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return s
+}
+
+func passed(tap *link.Tap, d link.Direction) string {
+	var b strings.Builder
+	for _, p := range tap.All() {
+		if p.Direction == d {
+			b.Write(p.Data)
+		}
+	}
+	return b.String()
+}
+
+// Lines that come while a proxy stalls wait in order, in the pilot beyond the proxy's window, and hold up nobody else.
+func TestStall(t *testing.T) {
+	r := newRig(t)
+	release := make(chan struct{})
+	free := sync.OnceFunc(func() { close(release) })
+	defer free()
+	x := r.proxy(1, r.link.Address(), func(m *runtime.Message) time.Duration {
+		if m.Number == 1 {
+			<-release
+		}
+		return 0
+	})
+	y := r.proxy(2, r.p.Address(), nil)
+	r.until("joined", func() bool { return count[control.Joined](r.module) == 2 })
+	r.order(append(table(1, 2), control.Bind{Proxy: 1}, control.Bind{Proxy: 2}, control.Checkpoint{Number: 1})...)
+	const more = 1500 // of five lines each: more than a window
+	for i := range more {
+		r.order(control.PutLine{Table: 0, Endpoint: 0, Weight: float64(i + 2)}, control.Checkpoint{Number: i + 2})
+	}
+	last := fmt.Sprintf("e0,UP,%d,", more+1)
+	r.until("the other has it all", func() bool { return strings.Contains(y.Stat(), last) })
+	info := r.ask("show info")
+	if strings.Contains(info, "\nLines_waiting: 0\n") || !strings.Contains(info, "\nOverflows: 0\n") {
+		t.Errorf("nothing waits in the channel though a proxy stalls:\n%s", info)
+	}
+	if got := strings.Count(passed(r.tap, link.Down), "apply "); got*5 > 4096+50 {
+		t.Errorf("%d messages went to a proxy that stalls, past its window", got)
+	}
+	if x.Stat() != "# pxname,svname,status,weight,addr,\n" {
+		t.Errorf("applied while it stalled: %s", x.Stat())
+	}
+	free()
+	r.until("it catches up", func() bool { return strings.Contains(x.Stat(), last) })
+	r.until("all confirmed", func() bool { return count[control.InForce](r.module) == 2*(more+1) })
+}
+
+// A channel that is full ends the session of the proxy concerned, which joins anew with its tables; its bound holds.
+func TestOverflow(t *testing.T) {
+	r := newRig(t)
+	release := make(chan struct{})
+	free := sync.OnceFunc(func() { close(release) })
+	defer free()
+	r.proxy(1, r.link.Address(), func(*runtime.Message) time.Duration { <-release; return 0 })
+	r.until("joined", func() bool { return count[control.Joined](r.module) == 1 })
+	r.order(append(table(1, 2), control.Bind{Proxy: 1})...)
+	for i := range 4000 {
+		r.order(control.PutLine{Table: 0, Endpoint: 0, Weight: float64(i + 2)})
+	}
+	r.until("its session ended", func() bool { return count[control.Left](r.module) >= 1 })
+	free()
+	r.until("joined anew", func() bool { return count[control.Joined](r.module) >= 2 })
+	var peak int
+	for _, line := range strings.Split(r.ask("show info"), "\n") {
+		fmt.Sscanf(line, "Lines_waiting_peak: %d", &peak)
+	}
+	if peak > 8000 || peak < 4000 {
+		t.Errorf("%d lines waited at most", peak)
+	}
+}
+
+// dial is a peer that speaks the stream by hand.
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+const hello = "hello %d token %s zone 0 rate 1 holds - 0 0 window 100 standing -\n\n"
+
+// Rubbish, another's number, a zone that is not there: refused, and the others are not touched. A stream that is half
+// open gives way to the same proxy's new one.
+func TestStrangers(t *testing.T) {
+	r := newRig(t)
+	good, in := dial(t, r.p.Address())
+	fmt.Fprintf(good, hello, 1, "x")
+	if s, err := in.ReadString('\n'); err != nil || !strings.HasPrefix(s, "welcome p ") {
+		t.Fatal(s, err)
+	}
+	for _, text := range []string{"rubbish\n\n", "\x00\xff\n\n", "GET / HTTP/1.1\r\n\n\n", "sums 1000\n\n", fmt.Sprintf(hello, 1, "y"),
+		"hello 2 token x zone 9 rate 1 holds - 0 0 window 1 standing -\n\n", fmt.Sprintf(hello, 5, "z") + fmt.Sprintf(hello, 5, "z"),
+		strings.Repeat("a", mostBlock+1)} {
+		c, _ := dial(t, r.p.Address())
+		_, _ = io.WriteString(c, text)
+		if _, err := io.ReadAll(c); err != nil && !strings.Contains(err.Error(), "reset") {
+			t.Errorf("%.40q: not closed: %v", text, err)
+		}
+	}
+	r.order(append(table(1), control.Bind{Proxy: 1})...)
+	s := ""
+	for !strings.Contains(s, "set map op-types") {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			t.Fatal("the good proxy lost its stream:", err)
+		}
+		s += line
+	}
+	again, in2 := dial(t, r.p.Address())
+	fmt.Fprintf(again, hello, 1, "x")
+	if s, err := in2.ReadString('\n'); err != nil || !strings.HasSuffix(s, "fresh\n") {
+		t.Fatal(s, err)
+	}
+	if _, err := io.ReadAll(in); err != nil {
+		t.Errorf("the old stream is not closed: %v", err)
+	}
+}
+
+// A pilot that finds no list service goes by the list that it kept, even one killed outright; a torn copy is not used.
+func TestCachedList(t *testing.T) {
+	r := newRig(t)
+	f := pilotFile(r.list.Address())
+	f.Cache = filepath.Join(t.TempDir(), "list.json")
+	first := &rig{t: t, module: &script{}}
+	first.start(f)
+	first.until("kept", func() bool { _, l, err := roster.Load(f.Cache); return err == nil && len(l) == 4 })
+	first.p.Kill()
+	f.Roster = "127.0.0.1:1"
+	listing := func() (n int) {
+		second := &rig{t: t, module: &script{}}
+		second.start(f)
+		defer second.p.Stop()
+		second.until("started", func() bool { return count[control.Listing](second.module) == 1 })
+		second.module.mu.Lock()
+		defer second.module.mu.Unlock()
+		return len(second.module.events[1].(control.Listing).Entries)
+	}
+	if n := listing(); n != 4 {
+		t.Errorf("%d entries", n)
+	}
+	data, err := os.ReadFile(f.Cache)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, torn := range [][]byte{data[:len(data)/2], []byte(strings.Replace(string(data), `"weight":1`, `"weight":2`, 1)), nil} {
+		if err := os.WriteFile(f.Cache, torn, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if n := listing(); n != 0 {
+			t.Errorf("a torn copy gave %d entries", n)
+		}
+	}
+}
+
+// A panic of the module starts it afresh with the list; proxies keep their tables and join the new run, which may order.
+func TestPanic(t *testing.T) {
+	r := newRig(t)
+	x := r.proxy(1, r.link.Address(), nil)
+	r.until("joined", func() bool { return count[control.Joined](r.module) == 1 })
+	r.order(append(table(1, 2), control.Bind{Proxy: 1}, control.Checkpoint{Number: 1})...)
+	r.until("bound", func() bool { return count[control.InForce](r.module) == 1 })
+	r.p.post(func() { r.p.event(control.Ring{Label: 666}) })
+	r.until("started afresh", func() bool { return count[control.Start](r.module) == 2 && count[control.Joined](r.module) == 2 })
+	if !strings.Contains(x.Stat(), "e1,UP,2") {
+		t.Errorf("tables are gone: %s", x.Stat())
+	}
+	r.order(append(table(3), control.Bind{Proxy: 1}, control.Checkpoint{Number: 1})...)
+	r.until("the new run orders", func() bool { return strings.Contains(x.Stat(), "e0,UP,3") && !strings.Contains(x.Stat(), "e1,") })
+}
+
+// People may ask at any time, by hand or by script.
+func TestSession(t *testing.T) {
+	r := newRig(t)
+	if s := r.ask("help"); !strings.Contains(s, "show servers state") || !strings.HasSuffix(s, "\n\n") {
+		t.Errorf("%q", s)
+	}
+	if s := r.ask("show servers state;show nothing"); !strings.Contains(s, "e3 127.0.0.1 8003 1 ready z 0 false") || !strings.Contains(s, "Unknown command") {
+		t.Errorf("%q", s)
+	}
+	c, in := dial(t, r.p.AdminAddress())
+	_, _ = io.WriteString(c, "prompt\nshow info\nquit\n")
+	all, err := io.ReadAll(in)
+	if err != nil || strings.Count(string(all), "> ") != 2 || !strings.Contains(string(all), "Role: pilot") {
+		t.Errorf("%q %v", all, err)
+	}
+}
--- a/proxy/admin.go
+++ b/proxy/admin.go
@@ -38,13 +38,28 @@
 	}
 }
 
+// Info is what show info prints.
+func (p *Proxy) Info() string {
+	var b strings.Builder
+	_ = p.showInfo(&b, runtime.Command{})
+	return b.String()
+}
+
+// Stat is what show stat prints.
+func (p *Proxy) Stat() string {
+	var b strings.Builder
+	_ = p.showStat(&b, runtime.Command{})
+	return b.String()
+}
+
 func (p *Proxy) showInfo(w io.Writer, c runtime.Command) error {
 	t := p.now.Load()
 	fmt.Fprintf(w, "Name: vetchdoor\nRole: proxy\nProxy: %d\nZone: %s\nUptime_sec: %d\n", p.file.ID, p.file.Zone,
 		int(time.Since(p.started).Seconds()))
 	fmt.Fprintf(w, "Pilot: %s\nRun: %d\nMessage: %d\nJoined: %t\n", t.pilot, t.run, t.number, p.orders.joined())
-	fmt.Fprintf(w, "Ops: %d\nAcked: %d\nRejected: %d\nAborted: %d\nRetried: %d\nConnections: %d\n", p.tally.ops.Load(),
-		p.tally.acked.Load(), p.tally.rejected.Load(), p.tally.aborted.Load(), p.tally.retried.Load(), p.pool.Open())
+	fmt.Fprintf(w, "Ops: %d\nAcked: %d\nRejected: %d\nAborted: %d\nRetried: %d\nConnections: %d\nApplied: %d\nApplied_again: %d\n", p.tally.ops.Load(),
+		p.tally.acked.Load(), p.tally.rejected.Load(), p.tally.aborted.Load(), p.tally.retried.Load(), p.pool.Open(),
+		p.tally.applied.Load(), p.tally.again.Load())
 	return nil
 }
 
--- a/proxy/orders.go
+++ b/proxy/orders.go
@@ -285,6 +285,7 @@
 		err = errors.New("a message of an older run than what is in force")
 	case same && m.Number <= t.number:
 		confirm.Again = true
+		p.tally.again.Add(1)
 	case same && l.pilot.Resumed && m.Number != t.number+1:
 		err = errors.New("a message is missing before this one")
 	default:
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -55,7 +55,7 @@
 }
 
 // tally counts since the start, for people.
-type tally struct{ ops, acked, rejected, aborted, retried atomic.Int64 }
+type tally struct{ ops, acked, rejected, aborted, retried, applied, again atomic.Int64 }
 
 // opType is what the proxy keeps for one op type.
 type opType struct {
@@ -418,6 +418,7 @@
 		return err
 	}
 	p.now.Store(n)
+	p.tally.applied.Add(1)
 	for _, e := range p.servers.keep(n) {
 		p.pool.Forget(e.address)
 	}
--- /dev/null
+++ b/runtime/runtime_test.go
@@ -0,0 +1,219 @@
+package runtime
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"vetchdoor/control"
+)
+
+// scan feeds a text in pieces of a size and returns the requests it holds, words joined by |, payload lines by /.
+func scan(text string, size int, b Bounds) (out []string, err error) {
+	s := NewScanner(b)
+	for len(text) > 0 {
+		n := min(size, len(text))
+		s.Feed([]byte(text[:n]))
+		text = text[n:]
+		for {
+			line, ok, err := s.Next()
+			if err != nil {
+				return out, err
+			}
+			if !ok {
+				break
+			}
+			var cmds []string
+			for _, c := range line {
+				w := strings.Join(c.Words, "|")
+				if c.HasPayload {
+					w += "<" + strings.Join(c.Payload, "/") + ">"
+				}
+				cmds = append(cmds, w)
+			}
+			out = append(out, strings.Join(cmds, ";"))
+		}
+	}
+	return out, nil
+}
+
+// The grammar as the management guide has it.
+func TestScanner(t *testing.T) {
+	for _, c := range []struct{ in, want string }{
+		{"show info\n", "show|info"},
+		{"show info;show stat \n\n help\r\n", "show|info;show|stat help"},
+		{"set map a\\ b\\;c d\n", "set|map|a b;c|d"},
+		{"add map x <<\nk1 v1\nk2 v2\n\nshow info\n", "add|map|x<k1 v1/k2 v2> show|info"},
+		{"add map x <<END\nk\n\nEND\n", "add|map|x<k/>"},
+		{"a;add map x <<\n\n", "a;add|map|x<>"},
+		{"show info", ""},
+		{"add map x <<\nk1 v1\n", ""},
+		{";;;\n", ""},
+		{"a \\<<x\n", "a|<<x"},
+	} {
+		for _, size := range []int{1, 3, 1000} {
+			got, err := scan(c.in, size, People)
+			if err != nil || strings.Join(got, " ") != c.want {
+				t.Errorf("%q in pieces of %d: %q, %v; want %q", c.in, size, got, err, c.want)
+			}
+		}
+	}
+}
+
+// No request grows past its bounds, and after one that tried nothing more is taken.
+func TestBounds(t *testing.T) {
+	b := Bounds{Line: 20, Words: 3, Commands: 2, Payload: 10}
+	for _, in := range []string{strings.Repeat("a", 21), "a b c d\n", "a;b;c\n", "a <<\n" + strings.Repeat("k\n", 6), "a <<12345678\n"} {
+		if got, err := scan(in, 4, b); err == nil {
+			t.Errorf("%q was taken: %q", in, got)
+		}
+	}
+	s := NewScanner(b)
+	s.Feed([]byte(strings.Repeat("a", 30) + "\nhelp\n"))
+	if _, ok, err := s.Next(); ok || !errors.Is(err, ErrTooLong) {
+		t.Fatal(ok, err)
+	}
+	s.Feed([]byte("help\n"))
+	if _, ok, err := s.Next(); ok || err == nil {
+		t.Fatal("taken after an error")
+	}
+}
+
+func changes() []Change {
+	return []Change{
+		{Verb: AddServer, Table: 3, Endpoint: 17, Weight: 1.5, Server: Server{Address: netip.MustParseAddrPort("127.0.0.1:8001"), Zone: 1, Pack: 4}},
+		{Verb: AddServer, Table: 3, Endpoint: 18, Weight: 1e-3, Server: Server{Address: netip.MustParseAddrPort("[::1]:8001")}},
+		{Verb: SetWeight, Table: 3, Endpoint: 17, Weight: 0.25},
+		{Verb: DelServer, Table: 3, Endpoint: 4294967295},
+		{Verb: SetState, Endpoint: 17, Out: true},
+		{Verb: SetState, Endpoint: 17},
+		{Verb: ClearState},
+		{Verb: SetMap, Table: 3, OpTypes: 0},
+		{Verb: SetMap, Table: 65534, OpTypes: 1<<15 | 5},
+		{Verb: ClearTable, Table: 0},
+		{Verb: SetLevel, Table: control.Everywhere, OpTypes: 2, Level: 0.86, Again: control.IfUnrun},
+		{Verb: SetLevel, Table: 9, Level: 0, Again: control.TwiceMore},
+	}
+}
+
+// What is written is read back as it was.
+func TestMessage(t *testing.T) {
+	m := &Message{Pilot: "a b;c", Run: 1 << 60, Number: 7, At: 1234567 * time.Microsecond, Lines: 12, Checkpoint: 65535, Changes: changes()}
+	s := NewScanner(Orders)
+	s.Feed(m.Append(nil))
+	line, ok, err := s.Next()
+	if !ok || err != nil {
+		t.Fatal(ok, err)
+	}
+	got, err := ParseMessage(line[0])
+	if err != nil || !reflect.DeepEqual(got, m) {
+		t.Fatalf("%+v, %v", got, err)
+	}
+}
+
+// One bad line refuses the whole message.
+func TestBadChanges(t *testing.T) {
+	for _, line := range []string{"add server t1/e1 127.0.0.1:80 weight 0 zone 0 pack 0", "add server t1/e1 127.0.0.1 weight 1 zone 0 pack 0",
+		"add server t1/e1 127.0.0.1:0 weight 1 zone 0 pack 0", "add server t1/e1 127.0.0.1:80 weight NaN zone 0 pack 0",
+		"add server t1/e1 127.0.0.1:80 weight 1 zone 256 pack 0", "add server t1 127.0.0.1:80 weight 1 zone 0 pack 0",
+		"add server t65535/e1 127.0.0.1:80 weight 1 zone 0 pack 0", "set server t1/e1 weight -1", "set server t1/e1 weight 1 more",
+		"set server t1/e1 weight +Inf", "set server */e1 state maint", "set server */* state drain", "set map op-types 16 t1",
+		"set map op-types 0 *", "set level * 0 -1 again never", "set level * 0 1 again always", "set level * 0 1", "clear table *",
+		"del server t1/e4294967296", "show info", "set server t1/e1 weight 1;del server t1/e1"} {
+		c := Command{Words: strings.Fields("apply p 1 1 at 0 lines 2"), HasPayload: true,
+			Payload: []string{"set server t1/e1 weight 2", line}}
+		if m, err := ParseMessage(c); err == nil {
+			t.Errorf("%q was taken: %+v", line, m.Changes[1])
+		}
+	}
+}
+
+func TestBlocks(t *testing.T) {
+	hello := &Hello{Proxy: 9, Token: "x y", Zone: 2, Rate: 12.5, Pilot: "-", Window: 4096, Standing: []control.EndpointID{1, 4294967295}}
+	sums := &Sums{Window: time.Second, Types: []TypeSum{{1, 20, 3}}, Servers: []ServerSum{{7, 10, 1, 45 * time.Millisecond, []float64{0.5, 3}}, {8, 1, 1, 0, nil}}}
+	want := []any{hello, InForce{5, 6, 7, true}, InForce{5, 6, -1, false}, Refused{1, 2, "not this"}, sums}
+	text := hello.Append(nil)
+	text = want[1].(InForce).Append(text)
+	text = want[2].(InForce).Append(text)
+	text = want[3].(Refused).Append(text)
+	text = sums.Append(text)
+	r := NewBlocks(1 << 16)
+	var got []any
+	for _, c := range text {
+		r.Feed([]byte{c})
+		lines, ok, err := r.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if ok {
+			b, err := ParseBlock(lines)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got = append(got, b)
+		}
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("%+v", got)
+	}
+	for _, bad := range []string{"hello 70000 token x zone 0 rate 1 holds - 0 0 window 1 standing -", "hello 1", "sums x", "sums 1000\nserver 1 2",
+		"sums 1000\ntype 0 -1 0", "sums 1000\nserver 1 2 3 4 NaN", "bye", "in-force 1 2 maybe", "in-force 1 2\nmore"} {
+		if b, err := ParseBlock(strings.Split(bad, "\n")); err == nil {
+			t.Errorf("%q was taken: %+v", bad, b)
+		}
+	}
+	r = NewBlocks(10)
+	r.Feed([]byte("aaaaaaaaaaaaaaaaaaaaa"))
+	if _, _, err := r.Next(); err == nil {
+		t.Error("a block without end was taken")
+	}
+}
+
+// FuzzScanner: no input crashes it or makes it hold more than it was fed; what comes out does not depend on the pieces;
+// what a change is written as is what it is read from.
+func FuzzScanner(f *testing.F) {
+	f.Add([]byte("show info;set map a\\ b c\nadd map x <<\nk v\n\n"), 3)
+	f.Add((&Message{Pilot: "p", Run: 1, Number: 1, Checkpoint: -1, Changes: changes()}).Append(nil), 7)
+	f.Fuzz(func(t *testing.T, in []byte, size int) {
+		if size < 1 || size > 64 {
+			return
+		}
+		whole, err1 := scan(string(in), len(in)+1, People)
+		pieces, err2 := scan(string(in), size, People)
+		if (err1 == nil) != (err2 == nil) || fmt.Sprint(whole) != fmt.Sprint(pieces) {
+			t.Fatalf("whole %q %v; in pieces %q %v", whole, err1, pieces, err2)
+		}
+		s := NewScanner(Orders)
+		s.Feed(in)
+		for {
+			line, ok, err := s.Next()
+			if err != nil || !ok {
+				return
+			}
+			m, err := ParseMessage(line[0])
+			if err != nil {
+				continue
+			}
+			s2 := NewScanner(Orders)
+			s2.Feed(m.Append(nil))
+			line, ok, err = s2.Next()
+			if !ok || err != nil {
+				t.Fatalf("written again it cannot be read: %v", err)
+			}
+			again, err := ParseMessage(line[0])
+			if err != nil || !reflect.DeepEqual(m, again) {
+				t.Fatalf("%+v is read back as %+v, %v", m, again, err)
+			}
+		}
+	})
+}
+
+func FuzzBlock(f *testing.F) {
+	f.Add("sums 1000\ntype 0 1 2\nserver 1 2 3 4 0.5")
+	f.Add("hello 1 token x zone 0 rate 1 holds - 0 0 window 1 standing 1,2")
+	f.Fuzz(func(t *testing.T, in string) { _, _ = ParseBlock(strings.Split(in, "\n")) })
+}
