--- a/lab/check.go
+++ b/lab/check.go
@@ -26,13 +26,14 @@
 
 // evidence is all that the rules are checked on: what passed the links and what the nodes saw. No part is asked.
 type evidence struct {
-	service *files.Service
-	limits  *files.Limits
-	channel *files.Channel
-	from    time.Time // when the times of the rest begin
-	passed  []link.Passed
-	ledger  *node.Ledger
-	until   time.Duration
+	service  *files.Service
+	limits   *files.Limits
+	channel  *files.Channel
+	from     time.Time // when the times of the rest begin
+	passed   []link.Passed
+	arrivals []node.Arrival
+	falls    []node.Fall
+	until    time.Duration
 }
 
 // slack is what the measuring itself may add to a time: a relay's hop and a scheduler's turn on a busy machine.
@@ -385,7 +386,7 @@
 	}
 	types := e.service.Types()
 	tries := map[key][]node.Arrival{}
-	for _, a := range e.ledger.Arrivals() {
+	for _, a := range e.arrivals {
 		if a.Proxy >= 0 && a.Op > 0 {
 			tries[key{a.Op, a.Try, a.Proxy}] = append(tries[key{a.Op, a.Try, a.Proxy}], a)
 		}
@@ -516,7 +517,7 @@
 		}
 	}
 	flagged := map[[2]int]bool{}
-	for _, a := range e.ledger.Arrivals() {
+	for _, a := range e.arrivals {
 		s, joined := h.joinedTo(byProxy, a.Proxy, a.At)
 		if s == nil || flagged[[2]int{a.Proxy, int(a.Endpoint)}] {
 			continue
@@ -537,10 +538,9 @@
 // coldKept checks rule 4: no cold endpoint is pushed over by proxies whose orders knew of its start.
 func (e *evidence) coldKept(h *history) (out []Break) {
 	byProxy := h.byProxy()
-	arrivals := e.ledger.Arrivals()
-	for _, f := range e.ledger.Falls() {
+	for _, f := range e.falls {
 		knowing, all := time.Duration(0), time.Duration(0)
-		for _, a := range arrivals {
+		for _, a := range e.arrivals {
 			if a.Endpoint != f.Endpoint || a.At > f.At || a.At < f.At-e.limits.FallAfter.Span() {
 				continue
 			}
--- /dev/null
+++ b/lab/node/node_test.go
@@ -0,0 +1,180 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"vetchdoor/files"
+)
+
+func machine() files.Machine {
+	return files.Machine{Name: "m", Cores: 2, Speed: [2]float64{1, 1}, Slots: 2, Queue: 4, Connections: 50, ColdShare: 0.25, ColdFor: files.Duration(time.Hour)}
+}
+
+func newNode(t *testing.T, m files.Machine, cold bool) (*Node, *Ledger) {
+	service := &files.Service{Zones: []string{"z", "y"}, Measures: []string{"cpu_utilization", "inflight"}, OpTypes: []files.OpType{
+		{Name: "a", TargetLatency: 1, OpTimeout: 1, Repeat: "retryable"},
+		{Name: "b", TargetLatency: 1, OpTimeout: 1, Repeat: "deduplicated", Group: "zone", DedupWindow: files.Duration(time.Hour), Writes: true}}}
+	l := NewLedger()
+	n := New(files.NodeAt{Endpoint: 5, Listen: "127.0.0.1:0", Zone: "z"}, m, service,
+		files.Limits{OverloadFactor: 4, FallAfter: files.Duration(2 * time.Second)}, 1, l)
+	if err := n.Start(cold); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Stop)
+	return n, l
+}
+
+// send posts an op and returns its status, 0 where none came.
+func send(t *testing.T, n *Node, opType int, work time.Duration, key string, give time.Duration) (int, http.Header) {
+	ctx, cancel := context.WithTimeout(context.Background(), give)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, "POST", "http://"+n.Address()+"/x", strings.NewReader("body"))
+	if err != nil {
+		t.Error(err)
+		return 0, nil
+	}
+	r.Header.Set(OpField, "1")
+	r.Header.Set(TypeField, fmt.Sprint(opType))
+	r.Header.Set(WorkField, fmt.Sprint(work.Microseconds()))
+	r.Header.Set("Via", "1.1 p9")
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := c.Do(r)
+	if err != nil {
+		return 0, nil
+	}
+	defer a.Body.Close()
+	_, _ = io.Copy(io.Discard, a.Body)
+	return a.StatusCode, a.Header
+}
+
+const ample = 20 * time.Second
+
+// A repeat inside its group and window has no second effect; without a key each op has its own.
+func TestEffects(t *testing.T) {
+	n, l := newNode(t, machine(), false)
+	for _, key := range []string{"k", "k", "j", "", ""} {
+		if s, h := send(t, n, 1, 0, key, ample); s != 200 || !strings.HasPrefix(h.Get("Endpoint-Load-Metrics"), "TEXT cpu_utilization=") {
+			t.Fatal(s, h)
+		}
+	}
+	if e := l.Effects(); len(e) != 4 {
+		t.Errorf("%d effects", len(e))
+	}
+	if a := l.Arrivals(); len(a) != 5 || a[0].Proxy != 9 || !a[0].Taken {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Beyond its slots and queue it turns ops away unrun; while it drains, all.
+func TestFull(t *testing.T) {
+	n, l := newNode(t, machine(), false)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	got := map[int]int{}
+	for range 20 {
+		wg.Go(func() {
+			s, h := send(t, n, 0, 300*time.Millisecond, "", ample)
+			mu.Lock()
+			defer mu.Unlock()
+			if got[s]++; s == 503 && h.Get("Op-Unrun") == "" {
+				t.Error("refused without proof")
+			}
+		})
+	}
+	wg.Wait()
+	if got[200] < 6 || got[503] == 0 || got[200]+got[503] != 20 {
+		t.Errorf("%v", got)
+	}
+	n.Set(func(x *Trouble) { x.Draining = true })
+	if s, _ := send(t, n, 0, 0, "", ample); s != 503 {
+		t.Errorf("draining: %d", s)
+	}
+	for _, a := range l.Arrivals()[20:] {
+		if a.Taken {
+			t.Error("taken while it drains")
+		}
+	}
+}
+
+// A cold node falls over under more work than it can bear and stays down; a warm one takes the same.
+func TestFallsOver(t *testing.T) {
+	m := machine()
+	m.Queue = 1000
+	for _, cold := range []bool{true, false} {
+		n, l := newNode(t, m, cold)
+		// It can do 2 cores * 0.25 a second; four times that over two seconds is four seconds of work.
+		for range 12 {
+			go func() { _, _ = send(t, n, 0, 500*time.Millisecond, "", time.Second) }()
+		}
+		for end := time.Now().Add(ample); len(l.Arrivals()) < 12 && len(l.Falls()) == 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		if (len(l.Falls()) > 0) != cold {
+			t.Fatalf("cold %t: fell %v", cold, l.Falls())
+		}
+		if !cold {
+			continue
+		}
+		for end := time.Now().Add(ample); n.Up() && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		if err := n.Start(true); err != nil || n.Up() {
+			t.Errorf("it came back: %v", err)
+		}
+	}
+}
+
+// The troubles: hung and silent nodes answer nothing, fast errors and lost answers run or do not, deaf ones are deaf to some.
+func TestTroubles(t *testing.T) {
+	n, l := newNode(t, machine(), false)
+	const short = 80 * time.Millisecond
+	for _, c := range []struct {
+		name    string
+		set     func(*Trouble)
+		status  int
+		effects int
+	}{
+		{"none", func(x *Trouble) {}, 200, 1},
+		{"errors", func(x *Trouble) { x.Errors = 1 }, 500, 0},
+		{"lost answers", func(x *Trouble) { x.Lost = 1 }, 0, 1},
+		{"silent", func(x *Trouble) { x.Silent = true }, 0, 0},
+		{"deaf", func(x *Trouble) { x.Deaf = func(p int) bool { return p == 9 } }, 0, 0},
+		{"deaf to another", func(x *Trouble) { x.Deaf = func(p int) bool { return p == 8 } }, 200, 1},
+		{"slow", func(x *Trouble) { x.Slow = 1000 }, 0, 0},
+	} {
+		n.Set(func(x *Trouble) { *x = Trouble{}; c.set(x) })
+		before, give := len(l.Effects()), short
+		if c.status != 0 || c.effects > 0 {
+			give = ample
+		}
+		s, _ := send(t, n, 1, 2*time.Millisecond, "", give)
+		if got := len(l.Effects()) - before; s != c.status || got != c.effects {
+			t.Errorf("%s: status %d, %d effects", c.name, s, got)
+		}
+	}
+	n.Set(func(x *Trouble) { *x = Trouble{Hang: true} })
+	before := len(l.Effects())
+	done := make(chan int)
+	go func() { s, _ := send(t, n, 1, 0, "", ample); done <- s }()
+	for len(l.Arrivals()) == 0 || l.Arrivals()[len(l.Arrivals())-1].At < 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(short)
+	if len(l.Effects()) != before {
+		t.Error("an effect while it hangs")
+	}
+	n.Set(func(x *Trouble) { x.Hang = false })
+	if s := <-done; s != 200 {
+		t.Errorf("after it hung: %d", s)
+	}
+}
--- a/lab/run.go
+++ b/lab/run.go
@@ -108,7 +108,7 @@
 func (f *fleet) report(s *source, begin time.Time, start, until time.Duration, connections float64) (*Report, error) {
 	d := f.day
 	e := &evidence{service: &d.Service, limits: &d.Limits, channel: &d.Channel, from: f.ledger.From(), passed: f.tap.All(),
-		ledger: f.ledger, until: until}
+		arrivals: f.ledger.Arrivals(), falls: f.ledger.Falls(), until: until}
 	breaks, err := e.check(len(f.pilots))
 	if err != nil {
 		return nil, err
