--- a/cmd/vetchdoor/lab.go
+++ b/cmd/vetchdoor/lab.go
@@ -19,7 +19,7 @@
 
 func labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "plays days through real pilots and proxies, with stand-ins for all else"}
-	c.AddCommand(labRunCommand())
+	c.AddCommand(labRunCommand(), labImportCommand())
 	return c
 }
 
@@ -96,3 +96,32 @@
 	}
 	d.Length = files.Duration(length)
 }
+
+func labImportCommand() *cobra.Command {
+	var shrink int
+	c := &cobra.Command{
+		Use:   "import BENCHDAY",
+		Short: "reads a day that the bench drew and writes ours to standard output; what could not be carried over, to standard error",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			data, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			day, notes, err := lab.ImportBenchDay(args[0], data, shrink)
+			if err != nil {
+				return err
+			}
+			for _, n := range notes {
+				fmt.Fprintln(cmd.ErrOrStderr(), "not carried over:", n)
+			}
+			b, err := json.MarshalIndent(day, "", " ")
+			if err == nil {
+				_, err = fmt.Fprintln(cmd.OutOrStdout(), string(b))
+			}
+			return err
+		},
+	}
+	c.Flags().IntVar(&shrink, "shrink", 1, "take every N-th machine and proxy")
+	return c
+}
--- a/files/contradictions.go
+++ b/files/contradictions.go
@@ -218,6 +218,25 @@
 	if (d.Load.OfCapacity > 0) == (d.Load.PerSecond > 0) {
 		return fault("/load/of_capacity", d.Load.OfCapacity, "one of of_capacity and ops_per_second above 0")
 	}
+	if n := len(d.Fleet.ProxyList); n > 0 && n != d.Fleet.Proxies {
+		return fault("/fleet/proxy_list", n, "as many as proxies, %d", d.Fleet.Proxies)
+	}
+	if n := len(d.Fleet.PilotList); n > 0 && n != d.Fleet.Pilots {
+		return fault("/fleet/pilot_list", n, "as many as pilots, %d", d.Fleet.Pilots)
+	}
+	if n := len(d.Fleet.Exactly); n > 0 && n != d.Fleet.Nodes+d.Fleet.Spare {
+		return fault("/fleet/exactly", n, "as many as nodes and spare together, %d", d.Fleet.Nodes+d.Fleet.Spare)
+	}
+	for i, p := range d.Fleet.ProxyList {
+		if f := d.Service.zone(fmt.Sprintf("/fleet/proxy_list/%d/zone", i), p.Zone); f != nil {
+			return f
+		}
+	}
+	for i, z := range d.Fleet.PilotList {
+		if f := d.Service.zone(fmt.Sprintf("/fleet/pilot_list/%d", i), z); f != nil {
+			return f
+		}
+	}
 	types := map[string]bool{}
 	for _, t := range d.Service.OpTypes {
 		types[t.Name] = true
--- a/files/day.go
+++ b/files/day.go
@@ -8,7 +8,22 @@
 	Spare    int       `json:"spare,omitempty"` // nodes that "grow" can switch on
 	PackSize int       `json:"pack_size,omitempty"`
 	Machines []Machine `json:"machines"`
-	Exactly  []NodeAt  `json:"exactly,omitempty"` // the nodes one by one, in place of drawing them
+	Exactly  []NodeAt  `json:"exactly,omitempty"` // the nodes one by one, in place of drawing them, spare ones last
+
+	ProxyList []ProxyAt `json:"proxy_list,omitempty"` // the proxies one by one
+	PilotList []string  `json:"pilot_list,omitempty"` // the pilots' zones
+}
+
+// ProxyAt is one proxy of a day: its zone and its share of the traffic, weighed against the others of the zone.
+type ProxyAt struct {
+	Zone  string  `json:"zone"`
+	Share float64 `json:"share"`
+}
+
+// Point is the load at a time, as a multiple of its mean.
+type Point struct {
+	At    Duration `json:"at"`
+	Times float64  `json:"times"`
 }
 
 // List is how the day's roster behaves.
@@ -33,6 +48,7 @@
 	Swing      float64   `json:"swing,omitempty"` // part by which it rises and falls over the day
 	Spread     float64   `json:"spread,omitempty"`
 	ZoneShare  []float64 `json:"zone_share,omitempty"`
+	Shape      []Point   `json:"shape,omitempty"` // in place of swing
 	Works      []Work    `json:"works"`
 }
 
@@ -60,6 +76,7 @@
 	Part   float64  `json:"part,omitempty"`
 	Size   float64  `json:"size,omitempty"`
 	Extra  float64  `json:"extra,omitempty"`
+	How    string   `json:"how,omitempty"` // a form of the kind
 	Zone   string   `json:"zone,omitempty"`
 	On     []uint32 `json:"on,omitempty"` // endpoints, proxies or pilots, by the kind; else drawn
 }
--- a/files/files.go
+++ b/files/files.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"time"
 
 	"vetchdoor/control"
@@ -16,8 +17,17 @@
 // Span returns it as a time.Duration.
 func (d Duration) Span() time.Duration { return time.Duration(d) }
 
-// MarshalJSON writes the string.
-func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+// MarshalJSON writes the string, in the largest unit that leaves a whole number.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	switch t := time.Duration(d); {
+	case t%time.Second == 0:
+		return json.Marshal(strconv.FormatInt(int64(t/time.Second), 10) + "s")
+	case t%time.Millisecond == 0:
+		return json.Marshal(strconv.FormatInt(int64(t/time.Millisecond), 10) + "ms")
+	default:
+		return json.Marshal(strconv.FormatFloat(float64(t)/1000, 'f', -1, 64) + "us")
+	}
+}
 
 // UnmarshalJSON reads the string.
 func (d *Duration) UnmarshalJSON(b []byte) error {
--- a/files/read.go
+++ b/files/read.go
@@ -153,7 +153,7 @@
 }
 
 func kindOf(path string, data []byte) (string, error) {
-	if err := whole(path, data); err != nil {
+	if err := Whole(path, data); err != nil {
 		return "", err
 	}
 	var head struct {
@@ -173,8 +173,8 @@
 	return k, nil
 }
 
-// whole looks over a file before anything is built from it: empty, torn, nested without end, a key twice.
-func whole(path string, data []byte) error {
+// Whole looks over a file before anything is built from it: empty, torn, nested without end, a key twice.
+func Whole(path string, data []byte) error {
 	if len(bytes.TrimSpace(data)) == 0 {
 		return &Fault{File: path, Found: "an empty file", Allowed: "a JSON object"}
 	}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -39,7 +39,8 @@
 	mu         sync.Mutex // guards what troubles change
 	hot        []hotSpell
 	shifts     []hotSpell
-	shares     []float64 // of the traffic, by proxy
+	grown      []hotSpell // traffic that follows the fleet's growth: size is its part
+	shares     []float64  // of the traffic, by proxy
 	timers     sync.WaitGroup
 	stop       chan struct{}
 	handshakes int                              // of proxies that have ended
@@ -52,6 +53,7 @@
 	ramp     time.Duration
 	size     float64
 	proxies  []int
+	forGood  bool
 }
 
 // pilotAt is one pilot and the ways to it.
@@ -198,6 +200,9 @@
 	d := f.day
 	for i := range d.Fleet.Pilots {
 		zone := i % len(d.Service.Zones)
+		if len(d.Fleet.PilotList) > 0 {
+			zone = d.Service.ZoneIndex(d.Fleet.PilotList[i])
+		}
 		at := &pilotAt{zone: zone}
 		var err error
 		at.list, err = link.Open(fmt.Sprintf("list %d", i), f.list.Address(), f.tap,
@@ -226,7 +231,7 @@
 	f.drawShares()
 	perSecond := f.perSecond()
 	for i := range d.Fleet.Proxies {
-		zone := i % len(d.Service.Zones)
+		zone := f.proxyZone(i)
 		at := &proxyAt{zone: zone, seeds: d.Seed}
 		f.proxies = append(f.proxies, at)
 		at.file = &files.Proxy{Kind: "proxy", ID: uint16(i), Zone: d.Service.Zones[zone], Listen: "127.0.0.1:0",
@@ -250,6 +255,14 @@
 	return nil
 }
 
+// proxyZone is where a proxy stands.
+func (f *fleet) proxyZone(i int) int {
+	if l := f.day.Fleet.ProxyList; len(l) > 0 {
+		return f.day.Service.ZoneIndex(l[i].Zone)
+	}
+	return i % len(f.day.Service.Zones)
+}
+
 // startProxy starts a proxy with the list as it stands now.
 func (f *fleet) startProxy(at *proxyAt) error {
 	file := *at.file
@@ -285,12 +298,15 @@
 	zones := make([]float64, len(d.Service.Zones))
 	for i := range d.Fleet.Proxies {
 		x := math.Exp(math.Sqrt(v) * f.rng.NormFloat64())
+		if len(d.Fleet.ProxyList) > 0 {
+			x = max(d.Fleet.ProxyList[i].Share, 1e-9)
+		}
 		f.shares = append(f.shares, x)
-		zones[i%len(zones)] += x
+		zones[f.proxyZone(i)] += x
 	}
 	total := 0.0
 	for i := range f.shares {
-		z := i % len(zones)
+		z := f.proxyZone(i)
 		part := 1 / float64(len(zones))
 		if len(d.Load.ZoneShare) > 0 {
 			part = d.Load.ZoneShare[z]
@@ -319,12 +335,15 @@
 func (f *fleet) shareAt(at time.Duration) []float64 {
 	out := append([]float64(nil), f.shares...)
 	for _, h := range append(append([]hotSpell(nil), f.hot...), f.shifts...) {
-		if at < h.from || at > h.to || len(h.proxies) == 0 {
+		if at < h.from || at > h.to && !h.forGood || len(h.proxies) == 0 {
 			continue
 		}
 		size := h.size
 		if h.ramp > 0 {
-			size *= min(1, float64(at-h.from)/float64(h.ramp), float64(h.to-at)/float64(h.ramp))
+			size *= min(1, float64(at-h.from)/float64(h.ramp))
+			if !h.forGood {
+				size = min(size, h.size*float64(h.to-at)/float64(h.ramp))
+			}
 		}
 		for i := range out {
 			out[i] *= 1 - size
@@ -340,9 +359,14 @@
 	return out
 }
 
-// tell has the list show a node so, after a while.
+// tell has the list show a node so, after a while, unless it is otherwise by then: a node that came back before its end
+// was noticed was never seen to go.
 func (f *fleet) tell(after time.Duration, n *node.Node, mode string) {
+	since := n.Started()
 	f.later(after, func() {
+		if mode != "draining" && since != n.Started() {
+			return
+		}
 		if e, err := f.entry(n, mode); err == nil {
 			f.list.Set(e)
 		}
--- a/lab/load.go
+++ b/lab/load.go
@@ -54,17 +54,39 @@
 	busy    sync.WaitGroup
 }
 
-// rateAt is the load at a time, as a share of its mean.
-func rateAt(d *files.Day, at time.Duration) float64 {
-	part := float64(at) / float64(d.Length)
-	return 1 + d.Load.Swing*math.Sin(2*math.Pi*part)
+// rateAt is the load at a time, as a multiple of its mean: the day's shape or swing, and what follows its growth.
+func (f *fleet) rateAt(at time.Duration) float64 {
+	d, rate := f.day, 0.0
+	if shape := d.Load.Shape; len(shape) > 0 {
+		i := sort.Search(len(shape), func(i int) bool { return shape[i].At.Span() > at })
+		switch {
+		case i == 0:
+			rate = shape[0].Times
+		case i == len(shape):
+			rate = shape[i-1].Times
+		default:
+			a, b := shape[i-1], shape[i]
+			rate = a.Times + (b.Times-a.Times)*float64(at-a.At.Span())/float64(max(b.At-a.At, 1))
+		}
+	} else {
+		rate = 1 + d.Load.Swing*math.Sin(2*math.Pi*float64(at)/float64(d.Length))
+	}
+	for _, g := range f.grown {
+		if at > g.from {
+			rate *= 1 + g.size*min(1, float64(at-g.from)/float64(max(g.to-g.from, 1)))
+		}
+	}
+	return rate
 }
 
-// drawOps draws a day's ops. weights are the proxies' shares, perSecond the mean rate; hot changes the share of a proxy
-// over time and shift that of a zone.
-func drawOps(d *files.Day, perSecond float64, share func(at time.Duration) []float64) []*op {
+// drawOps draws a day's ops.
+func (f *fleet) drawOps() []*op {
+	d, perSecond := f.day, f.perSecond()
 	rng := rand.New(rand.NewPCG(d.Seed, 1))
-	most := perSecond * (1 + d.Load.Swing)
+	most := 0.0
+	for at := time.Duration(0); at <= d.Length.Span(); at += d.Length.Span()/1000 + 1 {
+		most = max(most, perSecond*f.rateAt(at)*1.01)
+	}
 	total := 0.0
 	for _, w := range d.Load.Works {
 		total += w.Share
@@ -81,14 +103,14 @@
 		if at >= d.Length.Span() {
 			return ops
 		}
-		if rng.Float64()*most > perSecond*rateAt(d, at) {
+		if rng.Float64()*most > perSecond*f.rateAt(at) {
 			continue
 		}
 		if at > until { // shares are looked at anew every tenth of a second
 			until = at + 100*time.Millisecond
 			cumulated = cumulated[:0]
 			sum := 0.0
-			for _, s := range share(at) {
+			for _, s := range f.shareAt(at) {
 				sum += s
 				cumulated = append(cumulated, sum)
 			}
--- a/lab/node/node.go
+++ b/lab/node/node.go
@@ -57,15 +57,17 @@
 
 // Trouble is what is wrong with a node; the zero value is nothing.
 type Trouble struct {
-	Hang      bool                 // takes work, answers nothing
-	Silent    bool                 // not a byte comes back
-	Deaf      func(proxy int) bool // as Silent, towards some proxies
-	Draining  bool                 // turns new work away
-	Errors    float64              // share that fails at once
-	Lost      float64              // share that runs and whose answer is lost
-	Slow      float64              // times slower; 0: not
-	Handshake float64              // times dearer; 0: not
-	Heavy     float64              // this share of one op type takes HeavyBy times the work
+	Hang      bool                                               // takes work, answers nothing
+	Silent    bool                                               // not a byte comes back
+	Deaf      func(proxy int) bool                               // as Silent, towards some proxies
+	Far       func(proxy int) (late time.Duration, lost float64) // the way from some proxies
+	Draining  bool                                               // turns new work away
+	Errors    float64                                            // share that fails at once
+	Lost      float64                                            // share that runs and whose answer is lost
+	Slow      float64                                            // times slower; 0: not
+	Handshake float64                                            // times dearer; 0: not
+	Greeting  time.Duration                                      // that a new connection's first op waits
+	Heavy     float64                                            // this share of one op type takes HeavyBy times the work
 	HeavyBy   float64
 	HeavyType int
 }
@@ -266,7 +268,23 @@
 	full := len(n.queue)+len(n.running) >= n.machine.Slots+n.machine.Queue
 	j.Taken = n.up && !t.Draining && !full
 	n.ledger.arrived(j.Arrival)
-	if t.Silent || t.Deaf != nil && t.Deaf(j.Proxy) {
+	deaf := t.Silent || t.Deaf != nil && t.Deaf(j.Proxy)
+	late := t.Greeting
+	if c.Data != nil { // not the connection's first op
+		late = 0
+	}
+	c.Data = n
+	if t.Far != nil {
+		way, lost := t.Far(j.Proxy)
+		late += way
+		deaf = deaf || n.rng.Float64() < lost
+	}
+	if late > 0 && !deaf {
+		n.mu.Unlock()
+		time.Sleep(late)
+		n.mu.Lock()
+	}
+	if deaf {
 		n.mu.Unlock()
 		c.OnGone(func() { close(j.gone) })
 		<-j.gone
--- a/lab/run.go
+++ b/lab/run.go
@@ -57,7 +57,7 @@
 	for _, at := range f.proxies {
 		s.targets = append(s.targets, at.address)
 	}
-	s.ops = drawOps(day, f.perSecond(), f.shareAt)
+	s.ops = f.drawOps()
 	from := time.Now()
 	start := from.Sub(f.ledger.From())
 	over := make(chan struct{})
--- a/lab/trouble.go
+++ b/lab/trouble.go
@@ -31,18 +31,20 @@
 			}, func() { f.bringBack(n) })
 		}
 	},
-	"hang":           nodeTrouble(func(x *node.Trouble, t *files.Trouble, on bool) { x.Hang = on }),
-	"fast_errors":    nodeTrouble(func(x *node.Trouble, t *files.Trouble, on bool) { x.Errors = when(on, t.Size) }),
-	"answer_lost":    nodeTrouble(func(x *node.Trouble, t *files.Trouble, on bool) { x.Lost = when(on, t.Size) }),
-	"shared_slow":    nodeTrouble(func(x *node.Trouble, t *files.Trouble, on bool) { x.Slow = when(on, t.Size) }),
-	"handshake_slow": nodeTrouble(func(x *node.Trouble, t *files.Trouble, on bool) { x.Handshake = when(on, t.Size) }),
+	"hang":        nodeTrouble(func(x *node.Trouble, t *files.Trouble, on bool) { x.Hang = on }),
+	"fast_errors": nodeTrouble(func(x *node.Trouble, t *files.Trouble, on bool) { x.Errors = when(on, t.Size) }),
+	"answer_lost": nodeTrouble(func(x *node.Trouble, t *files.Trouble, on bool) { x.Lost = when(on, t.Size) }),
+	"shared_slow": nodeTrouble(func(x *node.Trouble, t *files.Trouble, on bool) { x.Slow = when(on, t.Size) }),
+	"handshake_slow": nodeTrouble(func(x *node.Trouble, t *files.Trouble, on bool) {
+		x.Handshake, x.Greeting = when(on, t.Extra), time.Duration(when(on, t.Size)*float64(time.Millisecond))
+	}),
 	"heavy_tail": func(f *fleet, t *files.Trouble) {
 		kind := f.rng.IntN(len(f.day.Service.OpTypes))
 		nodeTrouble(func(x *node.Trouble, t *files.Trouble, on bool) {
 			x.Heavy, x.HeavyBy, x.HeavyType = when(on, t.Extra), t.Size, kind
 		})(f, t)
 	},
-	"ageing": func(f *fleet, t *files.Trouble) {
+	"ageing": func(f *fleet, t *files.Trouble) { // slower and slower, then one end; back cold
 		const steps = 10
 		for _, n := range f.someNodes(t) {
 			for i := range steps {
@@ -50,7 +52,12 @@
 					n.Set(func(x *node.Trouble) { x.Slow = 1 + (max(t.Size, 1)-1)*float64(i+1)/steps })
 				})
 			}
-			f.later(t.At.Span()+t.Length.Span(), func() { n.Set(func(x *node.Trouble) { x.Slow = 0 }) })
+			end := t.At.Span() + t.Length.Span()
+			f.later(end, func() {
+				n.Stop()
+				f.tell(f.day.List.Notice.Span(), n, "gone")
+			})
+			f.later(end+time.Duration(t.Extra*float64(time.Second)), func() { f.bringBack(n) })
 		}
 	},
 	"pauses": func(f *fleet, t *files.Trouble) {
@@ -64,14 +71,16 @@
 	},
 	"deploy":   (*fleet).deploy,
 	"flapping": (*fleet).flap,
-	"grow": func(f *fleet, t *files.Trouble) {
-		for _, n := range f.spare {
-			f.later(t.At.Span(), func() {
+	"grow": func(f *fleet, t *files.Trouble) { // new machines, cold, and traffic that follows
+		for i, n := range f.spare {
+			f.later(t.At.Span()+t.Length.Span()*time.Duration(i)/time.Duration(len(f.spare)), func() {
 				if n.Start(true) == nil {
 					f.tell(f.day.List.Add.Span(), n, "ready")
 				}
 			})
 		}
+		f.grown = append(f.grown, hotSpell{from: t.At.Span(), to: t.At.Span() + t.Length.Span(),
+			size: float64(len(f.spare)) / float64(len(f.nodes)) * t.Extra})
 	},
 	"zone_loss": (*fleet).loseZone,
 	"zone_cut":  (*fleet).cutZone,
@@ -102,10 +111,10 @@
 		if part <= 0 {
 			part = 0.02
 		}
-		f.hot = append(f.hot, hotSpell{t.At.Span(), t.At.Span() + t.Length.Span(),
-			time.Duration(t.Extra * float64(time.Second)), t.Size, pick(f, len(f.proxies), part, t.On)})
+		f.hot = append(f.hot, hotSpell{from: t.At.Span(), to: t.At.Span() + t.Length.Span(),
+			ramp: time.Duration(t.Extra * float64(time.Second)), size: t.Size, proxies: pick(f, len(f.proxies), part, t.On)})
 	},
-	"shift": func(f *fleet, t *files.Trouble) {
+	"shift": func(f *fleet, t *files.Trouble) { // for good; its length is the time that it takes
 		zone := f.zoneOf(t)
 		var there []int
 		for i, at := range f.proxies {
@@ -113,21 +122,32 @@
 				there = append(there, i)
 			}
 		}
-		f.shifts = append(f.shifts, hotSpell{t.At.Span(), t.At.Span() + t.Length.Span(), 2 * time.Second,
-			min(max(t.Size, 0.2), 0.9), there})
+		f.shifts = append(f.shifts, hotSpell{from: t.At.Span(), to: t.At.Span() + t.Length.Span(), ramp: t.Length.Span(),
+			size: t.Size, proxies: there, forGood: true})
 	},
-	"slow_link": func(f *fleet, t *files.Trouble) {
-		// One way of some streams stands for a while: what was sent comes late and all at once, or not at all.
-		for _, i := range f.someProxies(t) {
-			f.at(t, func() {
-				for _, p := range f.pilots {
-					p.links[i].Lose(1)
+	"slow_link": func(f *fleet, t *files.Trouble) { // between a zone and the others, or one other
+		zone, other := f.zoneOf(t), -1
+		if t.How == "pair" {
+			other = (zone + 1) % len(f.day.Service.Zones)
+		}
+		aim := f.day.Service.OpTypes[0].TargetLatency.Span()
+		for _, x := range f.day.Service.OpTypes {
+			aim = min(aim, x.TargetLatency.Span())
+		}
+		late := time.Duration(2 * t.Size * float64(aim)) // there and back
+		for _, n := range f.nodes {
+			at := f.day.Service.ZoneIndex(n.At().Zone)
+			far := func(p int) (time.Duration, float64) {
+				if p < 0 || p >= len(f.proxies) {
+					return 0, 0
 				}
-			}, func() {
-				for _, p := range f.pilots {
-					p.links[i].Heal()
+				from := f.proxies[p].zone
+				if from == at || from != zone && at != zone || other >= 0 && from != other && at != other {
+					return 0, 0
 				}
-			})
+				return late, 1 - (1-t.Extra)*(1-t.Extra)
+			}
+			f.at(t, func() { n.Set(func(x *node.Trouble) { x.Far = far }) }, func() { n.Set(func(x *node.Trouble) { x.Far = nil }) })
 		}
 	},
 }
@@ -233,16 +253,34 @@
 	}
 }
 
-// flap ends and starts nodes faster than the list hears of it.
+// flap has nodes go and come back, a part of each turn away, in one of four forms; the list may not follow.
 func (f *fleet) flap(t *files.Trouble) {
-	every := max(time.Duration(max(t.Extra, 1)*float64(time.Second)), 500*time.Millisecond)
+	turn := max(time.Duration(t.Size*float64(time.Second)), 500*time.Millisecond)
+	down := time.Duration(min(max(t.Extra, 0.1), 0.9) * float64(turn))
 	for _, n := range f.someNodes(t) {
-		for at := time.Duration(0); at < t.Length.Span(); at += every {
-			f.later(t.At.Span()+at, func() {
-				n.Stop()
-				f.tell(f.day.List.Notice.Span(), n, "gone")
-			})
-			f.later(t.At.Span()+at+every/2, func() { f.bringBack(n) })
+		off := time.Duration(f.rng.Float64() * float64(turn))
+		for at := off; at < t.Length.Span(); at += turn {
+			begin, end := t.At.Span()+at, t.At.Span()+at+down
+			switch t.How {
+			case "hang":
+				f.later(begin, func() { n.Set(func(x *node.Trouble) { x.Hang = true }) })
+				f.later(end, func() { n.Set(func(x *node.Trouble) { x.Hang = false }) })
+			case "errors":
+				f.later(begin, func() { n.Set(func(x *node.Trouble) { x.Errors = 1 }) })
+				f.later(end, func() { n.Set(func(x *node.Trouble) { x.Errors = 0 }) })
+			case "silence":
+				f.later(begin, func() {
+					n.Set(func(x *node.Trouble) { x.Silent = true })
+					f.tell(f.day.List.SilentNotice.Span(), n, "gone")
+				})
+				f.later(end, func() { f.bringBack(n) })
+			default: // crash
+				f.later(begin, func() {
+					n.Stop()
+					f.tell(f.day.List.Notice.Span(), n, "gone")
+				})
+				f.later(end, func() { f.bringBack(n) })
+			}
 		}
 	}
 }
@@ -299,7 +337,7 @@
 // roll restarts proxies, or pilots, in batches; each is down for a while.
 func (f *fleet) roll(t *files.Trouble) {
 	down := time.Duration(max(t.Extra, 0.2) * float64(time.Second))
-	if len(f.pilots) > 1 && t.Zone == "pilots" {
+	if t.How == "pilots" {
 		for i, at := range f.pilots {
 			when := t.At.Span() + t.Length.Span()*time.Duration(i)/time.Duration(len(f.pilots))
 			f.later(when, func() { f.killPilot(at) })
