--- a/lab/bench.go
+++ b/lab/bench.go
@@ -341,7 +341,9 @@
 			if t.Kind == "shift" && t.How == "mix" {
 				note("shift: traffic turns into the heaviest op type there; here it moves to a zone")
 			}
-		case "heavy_tail", "reconnect", "grow":
+		case "grow":
+			x.Extra = 0 // the shape of the load has it already
+		case "heavy_tail", "reconnect":
 		default:
 			x.On = servers(t.On)
 			if len(x.On) == 0 {
--- a/lab/run.go
+++ b/lab/run.go
@@ -110,6 +110,9 @@
 	e := &evidence{service: &d.Service, limits: &d.Limits, channel: &d.Channel, from: f.ledger.From(), passed: f.tap.All(),
 		arrivals: f.ledger.Arrivals(), falls: f.ledger.Falls(), until: until}
 	breaks, err := e.check(len(f.pilots))
+	if breaks == nil {
+		breaks = []Break{} // as JSON: none, not null
+	}
 	if err != nil {
 		return nil, err
 	}
