Pilots write to each other where their files name peers

Need: Publish was an order that the pilot had no way to carry out. Change: a note travels as a block on a stream of its own, up to 256 bytes, taken from peers of the file only.

--- a/files/files.go
+++ b/files/files.go
@@ -115,11 +115,18 @@
 	Resume    Duration `json:"resume_within,omitempty"`
 	Seed      uint64   `json:"seed,omitempty"`
 	Probes    bool     `json:"probes,omitempty"`
+	Peers     []Peer   `json:"peers,omitempty"` // the other pilots, where they may write to each other
 	Service   Service  `json:"service"`
 	Limits    Limits   `json:"limits"`
 	Channel   Channel  `json:"channel"`
 }
 
+// Peer is another pilot: its place among the instances, and where it listens.
+type Peer struct {
+	Instance int    `json:"instance"`
+	Address  string `json:"address"`
+}
+
 // PilotAddress is where a proxy finds a pilot.
 type PilotAddress struct {
 	Address string `json:"address"`
@@ -262,7 +269,7 @@
 		LinesPerSecond: c.LinesPerSecond, MostWaiting: float64(c.MostWaiting), MessageCap: c.MessageCap,
 		MessageCapOver: c.MessageCapOver.Span(), PushDelay: c.PushDelay.Span(), PushDelayMost: c.PushDelayMost.Span(),
 		EmptyFor: l.EmptyFor.Span(), ReportEvery: s.ReportEvery.Span(), ReportLinesPerS: c.ReportLinesPerSecond,
-		Probes: p.Probes, CrossZonePrice: s.CrossZone, ListedWeights: true, ColdFor: l.ColdFor.Span(),
+		Probes: p.Probes, Peers: len(p.Peers) > 0, CrossZonePrice: s.CrossZone, ListedWeights: true, ColdFor: l.ColdFor.Span(),
 		ColdShare: l.ColdShare, DrainGrace: l.DrainGrace.Span(), OverloadFactor: l.OverloadFactor,
 		FallAfter: l.FallAfter.Span(),
 	}
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -48,6 +48,7 @@
 	admin   *sessions.Listener
 	probes  *upstream.Pool
 	probing atomic.Int64
+	noting  atomic.Int64
 
 	// What follows is the loop's own.
 	newDecider   func() decider
@@ -368,12 +369,14 @@
 		})
 	case control.Probe:
 		p.probe(o.Endpoint)
+	case control.Publish:
+		p.publish(o)
 	case control.FetchList:
 		p.source.Fetch()
 	case control.Note:
 		p.log.Info("note of the module", "text", o.Text)
 	case control.WatchList: // the list is always followed
-	default:
+	default: // there is none today
 		p.log.Warn("an order that this pilot has no way to carry out", "order", fmt.Sprintf("%T", o))
 	}
 }
--- a/pilot/pilot_test.go
+++ b/pilot/pilot_test.go
@@ -415,3 +415,29 @@
 		t.Errorf("%q %v", all, err)
 	}
 }
+
+// What one pilot publishes reaches its peers as the file names them, and nobody else may write.
+func TestNotes(t *testing.T) {
+	r := newRig(t)
+	f := pilotFile(r.list.Address())
+	f.Instance, f.Instances, f.Name = 1, 2, "q"
+	f.Peers = []files.Peer{{Instance: 0, Address: r.p.Address()}}
+	r.p.post(func() { r.p.file.Peers = []files.Peer{{Instance: 1, Address: "127.0.0.1:1"}} })
+	q := &rig{t: t, module: &script{}}
+	q.start(f)
+	defer q.p.Stop()
+	c, _ := dial(t, r.p.Address())
+	_, _ = c.Write(runtime.Note{From: 2, Data: []byte("stranger")}.Append(nil))
+	if _, err := io.ReadAll(c); err != nil {
+		t.Error(err)
+	}
+	q.order(control.Publish{To: -1, Data: []byte("a\n\nb")}, control.Publish{To: 7, Data: []byte("nobody")})
+	r.until("heard", func() bool { return count[control.PeerNote](r.module) == 1 })
+	r.module.mu.Lock()
+	defer r.module.mu.Unlock()
+	for _, e := range r.module.events {
+		if n, ok := e.(control.PeerNote); ok && (n.From != 1 || string(n.Data) != "a\n\nb") {
+			t.Errorf("%+v", n)
+		}
+	}
+}
--- a/pilot/streams.go
+++ b/pilot/streams.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"vetchdoor/control"
+	"vetchdoor/files"
 	"vetchdoor/runtime"
 	"vetchdoor/stream"
 )
@@ -86,6 +88,10 @@
 		p.hello(w, h)
 		return
 	}
+	if n, ok := block.(runtime.Note); ok && !w.known {
+		p.noted(w, n)
+		return
+	}
 	if !w.known {
 		p.reject(w, "no hello")
 		return
@@ -238,3 +244,45 @@
 		}
 	}
 }
+
+// noted takes a note of another pilot, one that the file names, and closes its stream.
+func (p *Pilot) noted(w *wire, n runtime.Note) {
+	if !slices.ContainsFunc(p.file.Peers, func(x files.Peer) bool { return x.Instance == n.From }) {
+		p.reject(w, fmt.Sprintf("a note of instance %d, which is no peer", n.From))
+		return
+	}
+	p.event(control.PeerNote{From: n.From, Data: n.Data})
+	delete(p.wires, w)
+	w.conn.End()
+}
+
+// mostNotes bounds the notes under way.
+const mostNotes = 64
+
+// publish writes a note to one peer, or to all.
+func (p *Pilot) publish(o control.Publish) {
+	if len(o.Data) > runtime.MostNote {
+		p.log.Warn("a note is too long", "bytes", len(o.Data))
+		return
+	}
+	note := runtime.Note{From: p.facts.Instance, Data: o.Data}.Append(nil)
+	for _, peer := range p.file.Peers {
+		if o.To >= 0 && o.To != peer.Instance || p.noting.Load() >= mostNotes {
+			continue
+		}
+		p.noting.Add(1)
+		p.done.Go(func() {
+			defer p.noting.Add(-1)
+			if c, err := stream.Dial(peer.Address, time.Second, quiet{}); err == nil {
+				_ = c.Send(note)
+				c.End()
+			}
+		})
+	}
+}
+
+// quiet handles a stream on which nothing is awaited.
+type quiet struct{}
+
+func (quiet) Data(*stream.Conn, []byte) {}
+func (quiet) Closed(*stream.Conn)       {}
--- a/runtime/block.go
+++ b/runtime/block.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/base64"
 	"fmt"
 	"math"
 	"strconv"
@@ -139,7 +140,35 @@
 	return append(b, '\n')
 }
 
-// ParseBlock reads a block: *Hello, InForce, Refused or *Sums.
+// Note is what one pilot writes to another, on a stream of its own.
+type Note struct {
+	From int
+	Data []byte
+}
+
+// MostNote bounds a note's data, in bytes.
+const MostNote = 256
+
+// Append appends the block.
+func (n Note) Append(b []byte) []byte {
+	return fmt.Appendf(b, "note %d %s\n\n", n.From, base64.RawURLEncoding.EncodeToString(n.Data))
+}
+
+func (w *wordReader) note() Note {
+	n := Note{From: int(w.uint("instance", math.MaxInt32))}
+	text := ""
+	if len(w.words) > 0 {
+		text = w.take()
+	}
+	data, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil || len(data) > MostNote {
+		w.fail("a note that is no base64 of up to %d bytes", MostNote)
+	}
+	n.Data = data
+	return n
+}
+
+// ParseBlock reads a block: *Hello, InForce, Refused, *Sums or Note.
 func ParseBlock(lines []string) (any, error) {
 	scan := Scanner{bounds: Orders}
 	words := func(line string) (*wordReader, error) {
@@ -164,6 +193,8 @@
 	switch kind {
 	case "hello":
 		block = w.hello()
+	case "note":
+		block = w.note()
 	case "in-force":
 		f := InForce{Run: w.uint("run", math.MaxUint64), Number: w.uint("number", math.MaxUint64), Checkpoint: -1}
 		if len(w.words) > 0 && w.words[0] == "checkpoint" {
