--- a/lab/run.go
+++ b/lab/run.go
@@ -23,6 +23,7 @@
 	Log      *slog.Logger
 	Progress io.Writer // nil: silent
 	faulty   func(*files.Proxy, *proxy.Proxy)
+	begin    func(*fleet) // before the first op
 }
 
 // settle is how long the fleet has before the first op.
@@ -50,6 +51,9 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
+	if o.begin != nil {
+		o.begin(f)
+	}
 	f.plan()
 	s := &source{day: day, types: day.Service.Types(), rng: rand.New(rand.NewPCG(day.Seed, 3)),
 		pool: &upstream.Pool{PerServer: 4096, IdleClose: 5 * time.Second, Bounds: http1.Usual}}
--- /dev/null
+++ b/serve/serve_test.go
@@ -0,0 +1,175 @@
+package serve_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"vetchdoor/http1"
+	"vetchdoor/serve"
+	"vetchdoor/upstream"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*defaultPoll).Wait"),
+		goleak.IgnoreAnyFunction("vetchdoor/stream.work"))
+}
+
+func start(t *testing.T, s *serve.Server) *serve.Server {
+	if err := s.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		s.Stop(ctx)
+	})
+	return s
+}
+
+func dial(t *testing.T, s *serve.Server) net.Conn {
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+func ok(c *serve.Conn, m *http1.Message) { _ = c.Write(serve.Plain(200, string(m.Target), false)) }
+
+const get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// A peer that sends ahead without end is cut off while its first request is still in hand; one that sends too slowly is
+// told so; one that stands idle is closed.
+func TestPeers(t *testing.T) {
+	release := make(chan struct{})
+	s := start(t, &serve.Server{Bounds: http1.Bounds{Line: 1000, Head: 2000, Body: 1000}, Slow: 100 * time.Millisecond, Idle: 150 * time.Millisecond,
+		Handle: func(c *serve.Conn, m *http1.Message) { <-release; ok(c, m) }})
+	c := dial(t, s)
+	sent := 0
+	var err error
+	for err == nil && sent < 512<<20 {
+		var n int
+		n, err = io.WriteString(c, strings.Repeat(get, 2000))
+		sent += n
+	}
+	if err == nil || errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("%d MiB were taken ahead: %v", sent>>20, err)
+	}
+	close(release)
+	slow := dial(t, s)
+	_, _ = io.WriteString(slow, "GET /")
+	if b, _ := io.ReadAll(slow); !strings.HasPrefix(string(b), "HTTP/1.1 408 ") {
+		t.Errorf("slow: %q", b)
+	}
+	idle := dial(t, s)
+	_, _ = io.WriteString(idle, get)
+	if b, _ := io.ReadAll(idle); !strings.Contains(string(b), "\r\n\r\n/a\n") {
+		t.Errorf("idle: %q", b)
+	}
+}
+
+// Stop lets what is in hand be answered, and no longer than its context.
+func TestStop(t *testing.T) {
+	in, release := make(chan struct{}), make(chan struct{})
+	s := &serve.Server{Handle: func(c *serve.Conn, m *http1.Message) { close(in); <-release; ok(c, m) }}
+	if err := s.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	c := dial(t, s)
+	_, _ = io.WriteString(c, get)
+	<-in
+	stopped := make(chan struct{})
+	go func() { s.Stop(context.Background()); close(stopped) }()
+	time.AfterFunc(50*time.Millisecond, func() { close(release) })
+	if b, _ := io.ReadAll(c); !strings.Contains(string(b), "/a") {
+		t.Errorf("%q", b)
+	}
+	<-stopped
+	if _, err := net.DialTimeout("tcp", s.Address(), time.Second); err == nil {
+		t.Error("still listens")
+	}
+}
+
+// A request that goes without an answer says whether it may have run: not where no connection was had, yes where it was
+// cut off; a call given up ends, and its server learns of it.
+func TestUpstream(t *testing.T) {
+	var gone atomic.Int64
+	hang := make(chan struct{})
+	s := start(t, &serve.Server{Handle: func(c *serve.Conn, m *http1.Message) {
+		switch string(m.Target) {
+		case "/drop":
+			c.Drop()
+		case "/hang":
+			away := make(chan struct{})
+			c.OnGone(func() { gone.Add(1); close(away) })
+			select {
+			case <-away:
+			case <-hang:
+			}
+		default:
+			ok(c, m)
+		}
+	}})
+	p := &upstream.Pool{PerServer: 2, IdleClose: 50 * time.Millisecond}
+	defer p.Close()
+	late := func(d time.Duration) time.Time { return time.Now().Add(d) }
+	req := func(path string) []byte { return fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path) }
+	for range 5 {
+		a, f := p.Send(&upstream.Call{}, s.Address(), req("/x"), late(20*time.Second), false)
+		if f != nil || string(a.Body) != "/x\n" {
+			t.Fatal(f)
+		}
+		a.Release()
+	}
+	if p.Opened.Load() != 1 {
+		t.Errorf("%d connections for ops one after another", p.Opened.Load())
+	}
+	if _, f := p.Send(&upstream.Call{}, s.Address(), req("/drop"), late(20*time.Second), false); f == nil || f.Unrun || f.Timeout {
+		t.Errorf("cut off: %+v", f)
+	}
+	if _, f := p.Send(&upstream.Call{}, "127.0.0.1:1", req("/x"), late(20*time.Second), false); f == nil || !f.Unrun {
+		t.Errorf("nobody there: %+v", f)
+	}
+	if _, f := p.Send(&upstream.Call{}, s.Address(), req("/hang"), late(30*time.Millisecond), false); f == nil || !f.Timeout || f.Unrun {
+		t.Errorf("too late: %+v", f)
+	}
+	calls := []*upstream.Call{{}, {}}
+	done := make(chan *upstream.Failure, 2)
+	for _, c := range calls {
+		go func() {
+			_, f := p.Send(c, s.Address(), req("/hang"), late(20*time.Second), false)
+			done <- f
+		}()
+	}
+	for end := late(20 * time.Second); p.Open() < 2 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if _, f := p.Send(&upstream.Call{}, s.Address(), req("/x"), late(20*time.Second), false); f == nil || !f.Unrun {
+		t.Errorf("past the cap: %+v", f)
+	}
+	was := gone.Load()
+	for _, c := range calls {
+		c.GiveUp()
+		if f := <-done; f == nil || !f.Gone {
+			t.Errorf("given up: %+v", f)
+		}
+	}
+	for end := late(20 * time.Second); (gone.Load() < was+2 || p.Open() > 0) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if gone.Load() < was+2 || p.Open() != 0 {
+		t.Errorf("%d servers learnt of it, %d connections are left", gone.Load()-was, p.Open())
+	}
+	close(hang)
+}
