A dropped connection is shut down at once; an answer is read before it is given back

Cause: found by tests under the race detector. netpoll reads on from a connection that was closed while its request is in hand, so a peer that sends ahead could fill memory; the proxy read an answer's status after giving its connection back. Change: a drop shuts the socket down; a stream takes nothing after its close and no more than 64 MiB ahead; the status is taken first. netpoll's own log goes to slog at debug.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -264,8 +264,9 @@
 		a, fail := p.pool.Send(call, e.address, s.out, until, head)
 		took := time.Since(begin)
 		if fail == nil {
+			status := a.Status // the answer is given back by passOn
 			if p.passOn(c, s, a, e, took, &state, begin, l.again, deadline) {
-				if a.Status >= 500 {
+				if status >= 500 {
 					t.unacked.Add(1)
 				} else {
 					p.tally.acked.Add(1)
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -7,6 +7,7 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -157,8 +158,15 @@
 // CloseAfter ends the connection once the answer under way is written.
 func (c *Conn) CloseAfter() { c.closing = true }
 
-// Drop ends the connection at once, in the midst of whatever is under way.
+// Drop ends the connection at once, in the midst of whatever is under way. netpoll reads on while a request is in hand,
+// even from a connection that was closed, so the socket is shut down first. It cannot be another's by now: netpoll closes
+// it after ended was called.
 func (c *Conn) Drop() {
+	c.mu.Lock()
+	if fd, ok := c.nc.(netpoll.Conn); ok && !c.gone {
+		_ = syscall.Shutdown(fd.Fd(), syscall.SHUT_RDWR)
+	}
+	c.mu.Unlock()
 	_ = c.nc.Close()
 	c.ended()
 }
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -26,6 +27,9 @@
 // mostPending bounds the bytes that may wait to be written to a peer that does not read; past it the connection ends.
 const mostPending = 32 << 20
 
+// mostAhead bounds the bytes that a peer may have sent ahead of what the handler has taken.
+const mostAhead = 64 << 20
+
 // ErrSlow says that the peer read too little of what was sent to it.
 var ErrSlow = errors.New("stream: the peer does not read")
 
@@ -38,6 +42,7 @@
 	flushing bool
 	ending   bool // close once what is pending is written
 	once     sync.Once
+	closing  atomic.Bool // by Close: what still comes is not taken
 }
 
 // network splits an address: unix:PATH, or HOST:PORT.
@@ -72,7 +77,11 @@
 // read hands what has come to the handler.
 func (c *Conn) read() {
 	r := c.nc.Reader()
-	for n := r.Len(); n > 0; n = r.Len() {
+	for n := r.Len(); n > 0 && !c.closing.Load(); n = r.Len() {
+		if n > mostAhead {
+			c.Close()
+			return
+		}
 		b, err := r.Next(n)
 		if err != nil {
 			return
@@ -162,6 +171,7 @@
 
 // Close closes the connection at once. The handler is told.
 func (c *Conn) Close() {
+	c.closing.Store(true)
 	_ = c.nc.Close()
 	c.ended()
 }
--- a/stream/workers.go
+++ b/stream/workers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -16,6 +18,7 @@
 var tasks = make(chan func())
 
 func init() {
+	netpoll.SetLoggerOutput(debug{})
 	netpoll.SetRunner(func(_ context.Context, f func()) {
 		select {
 		case tasks <- f:
@@ -38,3 +41,11 @@
 		}
 	}
 }
+
+// debug takes what netpoll has to say, most of it about closing twice what is closed.
+type debug struct{}
+
+func (debug) Write(b []byte) (int, error) {
+	slog.Debug("netpoll", "says", strings.TrimSpace(string(b)))
+	return len(b), nil
+}
