--- a/lab/check_test.go
+++ b/lab/check_test.go
@@ -295,3 +295,30 @@
 		t.Errorf("%d messages: the second run laid no tables", r.Messages)
 	}
 }
+
+// Every kind of trouble that a day may name is played.
+func TestKinds(t *testing.T) {
+	b, err := files.SchemaOf("day")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var doc struct {
+		Defs struct {
+			Trouble struct {
+				Properties struct{ Kind struct{ Enum []string } }
+			}
+		} `json:"$defs"`
+	}
+	if err := json.Unmarshal(b, &doc); err != nil {
+		t.Fatal(err)
+	}
+	kinds := doc.Defs.Trouble.Properties.Kind.Enum
+	if len(kinds) != 20 {
+		t.Errorf("%d kinds", len(kinds))
+	}
+	for _, k := range kinds {
+		if troubles[k] == nil {
+			t.Errorf("%s is not played", k)
+		}
+	}
+}
--- a/pilot/admin.go
+++ b/pilot/admin.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"vetchdoor/control"
@@ -28,6 +29,11 @@
 	}
 	return []sessions.Command{
 		{Words: "show info", Help: "what this pilot is and has done", Do: inLoop(p.showInfo)},
+		{Words: "show info typed", Help: "the same in the typed form", Do: inLoop(func(w io.Writer) {
+			var b strings.Builder
+			p.showInfo(&b)
+			sessions.Typed(w, b.String())
+		})},
 		{Words: "show stat", Help: "each server of each table, as CSV", Do: inLoop(p.showStat)},
 		{Words: "show servers state", Help: "the list of servers as this pilot has it", Do: inLoop(p.showServers)},
 		{Words: "show proxies", Help: "joined proxies, their tables, what they have not confirmed", Do: inLoop(p.showProxies)},
--- a/pilot/pilot_test.go
+++ b/pilot/pilot_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,11 +20,13 @@
 
 	"vetchdoor/control"
 	"vetchdoor/files"
+	"vetchdoor/http1"
 	"vetchdoor/lab/link"
 	stand "vetchdoor/lab/roster"
 	"vetchdoor/proxy"
 	"vetchdoor/roster"
 	"vetchdoor/runtime"
+	"vetchdoor/serve"
 	sessions "vetchdoor/session"
 )
 
@@ -408,6 +413,9 @@
 	if s := r.ask("show servers state;show nothing"); !strings.Contains(s, "e3 127.0.0.1 8003 1 ready z 0 false") || !strings.Contains(s, "Unknown command") {
 		t.Errorf("%q", s)
 	}
+	if s := r.ask("show info typed"); !strings.Contains(s, "\n1.Role.1:POS:str:pilot\n") || !strings.Contains(s, ".Servers.1:POS:u64:4\n") {
+		t.Errorf("%q", s)
+	}
 	c, in := dial(t, r.p.AdminAddress())
 	_, _ = io.WriteString(c, "prompt\nshow info\nquit\n")
 	all, err := io.ReadAll(in)
@@ -441,3 +449,38 @@
 		}
 	}
 }
+
+// A probe says what it met: an answer with a load, a refusal, nobody there.
+func TestProbe(t *testing.T) {
+	r := newRig(t)
+	var status atomic.Int64
+	srv := &serve.Server{Handle: func(c *serve.Conn, m *http1.Message) {
+		b := http1.AppendField(http1.AppendStatus(nil, int(status.Load())), http1.LoadHeader, "TEXT cpu_utilization=0.5")
+		_ = c.Write(http1.AppendBody(b, nil))
+	}}
+	if err := srv.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	defer srv.Stop(context.Background())
+	e := roster.Entry{Endpoint: 9, Address: netip.MustParseAddrPort(srv.Address()), Zone: "z", Weight: 1, Mode: "ready"}
+	r.p.post(func() { r.p.file.Service.Measures = []string{"cpu_utilization"}; r.p.list[9] = e })
+	nobody := e
+	nobody.Address = netip.MustParseAddrPort("127.0.0.1:1")
+	r.p.post(func() { r.p.list[10] = nobody })
+	for i, c := range []struct {
+		status int64
+		probe  control.EndpointID
+		want   control.ProbeOutcome
+	}{{200, 9, control.ProbeAnswered}, {503, 9, control.ProbeRejected}, {500, 9, control.ProbeErrored}, {0, 10, control.ProbeUnreached}, {0, 77, control.ProbeOther}} {
+		status.Store(c.status)
+		r.order(control.Probe{Endpoint: c.probe})
+		r.until("probed", func() bool { return count[control.Probed](r.module) == i+1 })
+		r.module.mu.Lock()
+		for _, e := range r.module.events[len(r.module.events)-1:] {
+			if p, ok := e.(control.Probed); !ok || p.Endpoint != c.probe || p.Outcome != c.want || c.status > 0 && (len(p.Load) != 1 || p.Load[0] != 0.5) {
+				t.Errorf("%+v", e)
+			}
+		}
+		r.module.mu.Unlock()
+	}
+}
--- a/proxy/admin.go
+++ b/proxy/admin.go
@@ -30,6 +30,10 @@
 func (p *Proxy) commands() []session.Command {
 	return []session.Command{
 		{Words: "show info", Help: "what this proxy is and has done", Do: p.showInfo},
+		{Words: "show info typed", Help: "the same in the typed form", Do: func(w io.Writer, _ runtime.Command) error {
+			session.Typed(w, p.Info())
+			return nil
+		}},
 		{Words: "show stat", Help: "each server of each table, as CSV", Do: p.showStat},
 		{Words: "show servers state", Help: "servers with their weights and states", Do: p.showServers},
 		{Words: "show map", Help: "op types and the tables that they go by", Do: p.showMap},
--- a/session/session.go
+++ b/session/session.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -172,3 +173,15 @@
 	reply, err := io.ReadAll(io.LimitReader(c, 64<<20))
 	return string(reply), err
 }
+
+// Typed rewrites lines of "Name: value" in the typed form of show info: position, name and process, tags, type, value.
+func Typed(w io.Writer, text string) {
+	for i, line := range strings.Split(strings.TrimSuffix(text, "\n"), "\n") {
+		name, value, _ := strings.Cut(line, ": ")
+		kind := "str"
+		if _, err := strconv.ParseUint(value, 10, 64); err == nil {
+			kind = "u64"
+		}
+		fmt.Fprintf(w, "%d.%s.1:POS:%s:%s\n", i, name, kind, value)
+	}
+}
