Answers without a body, bodies that wait to be asked for; nodes slow as they fill

Change: 100 Continue once the head is read; answers without a body keep to RFC 9110; a machine's slows_at, slows_by and connection_tax, carried over by lab import.

--- a/files/files.go
+++ b/files/files.go
@@ -182,6 +182,12 @@
 	ErrorRate   float64    `json:"error_rate,omitempty"`
 	Report      Duration   `json:"report_every,omitempty"`
 	Cancels     bool       `json:"cancels,omitempty"` // work stops when its op is given up
+
+	// Past SlowsAt ops in hand it loses efficiency, SlowsBy more of it with each further SlowsAt; a full table of
+	// connections takes ConnectionTax of its speed, a fuller one more.
+	SlowsAt       float64 `json:"slows_at,omitempty"`
+	SlowsBy       float64 `json:"slows_by,omitempty"`
+	ConnectionTax float64 `json:"connection_tax,omitempty"`
 }
 
 // NodeAt is one node: a stand-in for a server.
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -156,6 +156,12 @@
 	return m, nil
 }
 
+// Expects tells whether the head of the message under way has come and asks for a word before the body is sent
+// (Expect: 100-continue, RFC 9110, 10.1.1).
+func (p *Parser) Expects() bool {
+	return p.head > 0 && p.msg.Minor == 1 && equalFold(p.msg.Get("Expect"), "100-continue")
+}
+
 // Next makes the parser ready for the message after the one just returned, which may no longer be used.
 func (p *Parser) Next() {
 	fields, chunks := p.msg.Fields[:0], p.chunks[:0]
--- a/http1/write.go
+++ b/http1/write.go
@@ -41,9 +41,22 @@
 	return append(b, body...)
 }
 
-// hops are the fields that belong to one connection and are never passed on (RFC 9110, 7.6.1).
+// AppendAnswer ends the head of a response that is passed on and appends its body. One without a body by its nature, to a
+// HEAD request or of status 204 or 304, keeps the length that its server stated, if that may be stated at all.
+func AppendAnswer(b []byte, m *Message, head bool) []byte {
+	if !head && m.Status != 204 && m.Status != 304 {
+		return AppendBody(b, m.Body)
+	}
+	if n := m.Get("Content-Length"); n != nil && m.Status != 204 {
+		b = AppendField(b, "Content-Length", n)
+	}
+	return append(b, "\r\n"...)
+}
+
+// hops are the fields that belong to one connection and are never passed on (RFC 9110, 7.6.1); an Expect has been met by
+// then, for a request is whole before it travels on.
 var hops = []string{"Connection", "Proxy-Connection", "Keep-Alive", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
-	"Content-Length"}
+	"Content-Length", "Expect"}
 
 // AppendForwarded appends the fields of a message that may travel on: those of the connection, those that a Connection
 // field names and the length, which AppendBody writes anew, stay behind.
--- a/lab/bench.go
+++ b/lab/bench.go
@@ -72,13 +72,14 @@
 			Cold         float64
 			ErrorRate    float64 `json:"error_rate"`
 			Cancel       string
-			Thrash       float64
+			Thrash, Knee float64
 		}
 		ReportHow     string   `json:"report_how"`
 		ReportFields  []string `json:"report_fields"`
 		ReportPeriod  float64  `json:"report_period"`
 		HandshakeWork float64  `json:"handshake_work"`
 		ConnCap       float64  `json:"conn_cap_per_core"`
+		FullTax       float64  `json:"conn_full_tax"`
 		StatedFrom    float64  `json:"stated_cold_from"`
 		StatedCold    float64  `json:"stated_cold"`
 	}
@@ -225,10 +226,8 @@
 	for _, k := range tier.Kinds {
 		d.Fleet.Machines = append(d.Fleet.Machines, files.Machine{Name: k.Name, Cores: k.Cores, Speed: [2]float64{1, 1}, Slots: max(1, k.Slots),
 			Queue: k.Queue, Connections: max(1, int(tier.ConnCap*float64(k.Cores))), Handshake: span(tier.HandshakeWork), ColdShare: k.ColdFrom,
-			ColdFor: span(k.Cold), ErrorRate: k.ErrorRate, Report: span(tier.ReportPeriod), Cancels: k.Cancel == "all"})
-		if k.Thrash > 0 {
-			note("machine %s: that it gets slower with many ops in hand is left out", k.Name)
-		}
+			ColdFor: span(k.Cold), ErrorRate: k.ErrorRate, Report: span(tier.ReportPeriod), Cancels: k.Cancel == "all",
+			SlowsAt: k.Knee, SlowsBy: k.Thrash, ConnectionTax: tier.FullTax})
 	}
 	importFleet(&b, d, proxies, pilots, shrink)
 	importTroubles(&b, d, proxies, shrink, note)
--- a/lab/node/node.go
+++ b/lab/node/node.go
@@ -230,6 +230,19 @@
 	return min(1, n.machine.ColdShare+(1-n.machine.ColdShare)*part)
 }
 
+// speedNow is the work a second of one of its cores.
+func (n *Node) speedNow(now time.Time) float64 {
+	m := &n.machine
+	speed := n.speed * n.warm(now) * (1 - m.ConnectionTax*float64(n.conns)/float64(m.Connections))
+	if n.trouble.Slow > 0 {
+		speed /= n.trouble.Slow
+	}
+	if held := float64(len(n.queue) + len(n.running)); m.SlowsAt > 0 && held > m.SlowsAt {
+		speed /= 1 + m.SlowsBy*(held/m.SlowsAt-1)
+	}
+	return speed
+}
+
 // open admits a connection, at the cost of a handshake.
 func (n *Node) open(c *serve.Conn) bool {
 	n.mu.Lock()
@@ -393,10 +406,7 @@
 		if j.ended {
 			continue
 		}
-		speed := n.speed * n.warm(now)
-		if n.trouble.Slow > 0 {
-			speed /= n.trouble.Slow
-		}
+		speed := n.speedNow(now)
 		j.began = now
 		n.running[j] = true
 		n.arm(j, time.Duration(float64(j.work)/speed))
--- a/lab/node/node_test.go
+++ b/lab/node/node_test.go
@@ -178,3 +178,23 @@
 		t.Errorf("after it hung: %d", s)
 	}
 }
+
+// Many ops in hand and many connections cost it speed; a slow one is slower still.
+func TestSpeed(t *testing.T) {
+	m := machine()
+	m.SlowsAt, m.SlowsBy, m.ConnectionTax = 2, 0.5, 0.4
+	n, _ := newNode(t, m, false)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	for _, c := range []struct {
+		held, conns int
+		slow, want  float64
+	}{{0, 0, 0, 1}, {2, 0, 0, 1}, {4, 0, 0, 1 / 1.5}, {0, 50, 0, 0.6}, {0, 25, 2, 0.4}} {
+		n.conns, n.trouble.Slow, n.queue = c.conns, c.slow, make([]*job, c.held)
+		if got := n.speedNow(now); got < c.want-1e-9 || got > c.want+1e-9 {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+	n.conns, n.queue = 0, nil
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -265,7 +265,7 @@
 		took := time.Since(begin)
 		if fail == nil {
 			status := a.Status // the answer is given back by passOn
-			if p.passOn(c, s, a, e, took, &state, begin, l.again, deadline) {
+			if p.passOn(c, s, a, e, took, &state, begin, l.again, deadline, head) {
 				if status >= 500 {
 					t.unacked.Add(1)
 				} else {
@@ -307,7 +307,7 @@
 
 // passOn hands an answer to the client, unless it is a refusal after which another try may follow.
 func (p *Proxy) passOn(c *serve.Conn, s *scratch, a *upstream.Answer, e *server, took time.Duration, state *tries,
-	begin time.Time, again control.Again, deadline time.Time) bool {
+	begin time.Time, again control.Again, deadline time.Time, head bool) bool {
 	defer a.Release()
 	good := a.Status < 500
 	e.met(good, took, p.load(a.Get(http1.LoadHeader)), p.file.Service.OutlierAfter, p.file.Service.OutlierFor.Span())
@@ -322,7 +322,7 @@
 	if !good && a.Get("Retry-After") == nil {
 		b = http1.AppendField(b, "Retry-After", p.retryAfterText())
 	}
-	s.in = http1.AppendBody(b, a.Body)
+	s.in = http1.AppendAnswer(b, a.Message, head)
 	_ = c.Write(s.in)
 	return true
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -258,6 +258,7 @@
 	ms := func(n int) files.Duration { return files.Duration(time.Duration(n) * time.Millisecond) }
 	f := &files.Proxy{Kind: "proxy", ID: 7, Zone: "z", Listen: "127.0.0.1:0", Pilots: []files.PilotAddress{{Address: "127.0.0.1:1", Zone: "z"}},
 		Service: files.Service{Zones: []string{"z"}, Bootstrap: 9, ReportEvery: ms(1000), UsualAgain: "once", OpTypes: []files.OpType{
+			{Name: "head", Match: files.Match{Method: "HEAD"}, TargetLatency: ms(200), OpTimeout: ms(400), Repeat: "retryable"},
 			{Name: "read", Match: files.Match{Method: "GET"}, TargetLatency: ms(200), OpTimeout: ms(400), Repeat: "retryable"},
 			{Name: "post", Match: files.Match{Method: "POST"}, TargetLatency: ms(200), OpTimeout: ms(400), Repeat: "once-only"}}}}
 	for i, o := range origins {
@@ -300,6 +301,14 @@
 	o := origin(t, func(w http.ResponseWriter, r *http.Request) {
 		got.Add(1)
 		b, _ := io.ReadAll(r.Body)
+		switch r.URL.Path {
+		case "/head":
+			w.Header().Set("Content-Length", "7")
+			return
+		case "/none":
+			w.WriteHeader(204)
+			return
+		}
 		if strings.HasPrefix(r.URL.Path, "/flush") { // an answer in chunks
 			fmt.Fprint(w, "one ")
 			w.(http.Flusher).Flush()
@@ -328,6 +337,37 @@
 		}
 		io.Copy(io.Discard, r.Body)
 	}
+	// A body that waits to be asked for, and answers without one.
+	x, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer x.Close()
+	_ = x.SetDeadline(time.Now().Add(20 * time.Second))
+	_, _ = io.WriteString(x, "POST /e HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	in = bufio.NewReader(x)
+	if line, err := in.ReadString('\n'); line != "HTTP/1.1 100 Continue\r\n" {
+		t.Fatalf("%q %v", line, err)
+	}
+	_, _ = in.ReadString('\n')
+	_, _ = io.WriteString(x, "hi")
+	if r, err := http.ReadResponse(in, nil); err != nil || r.StatusCode != 200 {
+		t.Fatal(r, err)
+	} else if b, _ := io.ReadAll(r.Body); string(b) != "POST /e hi 1.1 p7" {
+		t.Errorf("%q", b)
+	}
+	_, _ = io.WriteString(x, "HEAD /head HTTP/1.1\r\nHost: h\r\n\r\nGET /none HTTP/1.1\r\nHost: h\r\n\r\nGET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+	for _, want := range []string{"HEAD 200 7 ", "GET 204 0 ", "GET 200 14 GET /x  1.1 p7"} {
+		method, _, _ := strings.Cut(want, " ")
+		r, err := http.ReadResponse(in, &http.Request{Method: method})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, _ := io.ReadAll(r.Body)
+		if got := fmt.Sprintf("%s %d %d %s", method, r.StatusCode, r.ContentLength, b); got != want || r.StatusCode == 204 && r.Header.Get("Content-Length") != "" {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
 	before := got.Load()
 	for text, status := range map[string]int{
 		"PUT / HTTP/1.1\r\nHost: h\r\n\r\n": 404,
@@ -337,14 +377,14 @@
 			t.Errorf("%q: %d", text, r.StatusCode)
 		}
 	}
-	if err := p.apply(message(1, "set level * 0 0 again never")); err != nil {
+	if err := p.apply(message(1, "set level * 1 0 again never")); err != nil {
 		t.Fatal(err)
 	}
 	r, _ := ask(t, p, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
 	if r.StatusCode != 503 || r.Header.Get("Retry-After") != "1" || got.Load() != before {
 		t.Errorf("level 0: %d %v", r.StatusCode, r.Header)
 	}
-	if err := p.apply(message(2, "set level * 0 1 again never", "set server */e0 state drain")); err != nil {
+	if err := p.apply(message(2, "set level * 1 1 again never", "set server */e0 state drain")); err != nil {
 		t.Fatal(err)
 	}
 	if r, _ := ask(t, p, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"); r.StatusCode != 503 || got.Load() != before {
@@ -394,7 +434,7 @@
 func TestDrainInFlight(t *testing.T) {
 	came, release := make(chan struct{}, 10), make(chan struct{})
 	slow := origin(t, func(w http.ResponseWriter, r *http.Request) { came <- struct{}{}; <-release; fmt.Fprint(w, "late") })
-	p := start(t, func(f *files.Proxy) { f.Service.OpTypes[0].OpTimeout = files.Duration(20 * time.Second) }, slow)
+	p := start(t, func(f *files.Proxy) { f.Service.OpTypes[1].OpTimeout = files.Duration(20 * time.Second) }, slow)
 	answers := make(chan string, 1)
 	go func() {
 		_, body := ask(t, p, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -47,8 +47,6 @@
 	mu      sync.Mutex
 	onGone  func()
 	gone    bool
-	failed  bool
-	headers bool
 	closing bool
 	last    atomic.Int64 // when it last did something, Unix nanoseconds
 	active  atomic.Bool
@@ -194,7 +192,7 @@
 // one reads and answers one request; false ends the connection.
 func (c *Conn) one(s *Server) bool {
 	r := c.nc.Reader()
-	started := time.Now()
+	started, told := time.Now(), false
 	for {
 		n := r.Len()
 		b, err := r.Peek(n)
@@ -217,6 +215,11 @@
 			c.Write(Plain(bad.Status, bad.Reason, true))
 			return false
 		}
+		if !told && c.parser.Expects() {
+			if told = true; c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) != nil {
+				return false
+			}
+		}
 		left := s.Slow - time.Since(started)
 		if left <= 0 {
 			c.Write(Plain(408, "the request came too slowly", true))
