A warden finds the tenant that harms others, limits it, fences it, lets it back

Change: tenancy.Warden, free of I/O: per pod that suffers, the tenant that takes most of its time or failures far beyond a fair share is limited, then fenced; good behaviour lifts both, later each time. Tenants kept are bounded, the lightest folded. Budget is a proxy's account of tries. Measured: a flood and costly ops are fenced in six periods, nobody is on evenings where all fail or all are busy.

--- /dev/null
+++ b/tenancy/warden.go
@@ -0,0 +1,239 @@
+package tenancy
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// The warden's numbers. Shares are from 0 to 1, spans in periods of the sums.
+const (
+	suffers   = 0.12 // of a pod's tries failing: it suffers
+	hotLoad   = 0.88 // or so busy
+	dominant  = 0.5  // of a suffering pod's time or failures: a tenant may be the cause
+	unfair    = 3.0  // and this many times its fair share of the time
+	patience  = 2    // periods of that before it is limited, and after that again before it is fenced
+	leave     = 2.0  // times its fair share: what a limited tenant may still use
+	forgiving = 5    // periods of good behaviour until a limit goes, or a fence; doubled with each fence
+	doublings = 6    // at most
+	smoothing = 0.5  // the newest sums' part in a running mean
+	tryBudget = 0.2  // tries beyond the first, for each op: what a proxy may spend on a tenant
+	leastTry  = 3    // tries a period that are always allowed
+	forgotten = 60   // periods without an op after which a tenant is no longer kept
+	mostKept  = 4096 // tenants kept one by one; the lightest beyond are folded into one
+)
+
+// Use is what proxies met of a tenant at a pod over a period. Busy is the time that servers held its ops.
+type Use struct {
+	Tenant      string
+	Pod         PodID
+	Ops, Failed float64
+	Busy        time.Duration
+}
+
+// Health is a pod over a period: how busy it says it is (below 0: unknown).
+type Health struct {
+	Pod  PodID
+	Load float64
+}
+
+// Limit is what a tenant may use, for all proxies. Rates are ops a second over all of them.
+type Limit struct {
+	Tenant string
+	Rate   float64 // below 0: no limit
+	Tries  float64 // tries beyond the first, for each op
+	Fenced bool    // it belongs into quarantine: a subset of pods that no other tenant uses
+}
+
+// watched is a tenant as the warden knows it.
+type watched struct {
+	name   string
+	ops    float64 // running means a period
+	failed float64
+	busy   float64               // seconds
+	pods   map[PodID]*[2]float64 // busy seconds and failures, by pod
+	bad    int                   // periods in a row in which it looked like the cause
+	good   int
+	fences int
+	limit  Limit
+	idle   int
+}
+
+// Warden finds the tenants that harm others and says what they may still use.
+type Warden struct {
+	period  time.Duration
+	tenants map[string]*watched
+	load    map[PodID]float64
+}
+
+// NewWarden starts one; sums come once a period.
+func NewWarden(period time.Duration) *Warden {
+	return &Warden{period: period, tenants: map[string]*watched{}, load: map[PodID]float64{}}
+}
+
+// Folded is the name under which the lightest tenants are kept together where there are too many; it is never limited.
+const Folded = "\x00folded"
+
+// Step takes a period's sums and returns the limits that changed, by tenant.
+func (w *Warden) Step(uses []Use, health []Health) []Limit {
+	for _, h := range health {
+		w.load[h.Pod] = h.Load
+	}
+	for _, t := range w.tenants {
+		t.fade()
+	}
+	for _, u := range w.fold(uses) {
+		t := w.tenants[u.Tenant]
+		if t == nil {
+			t = &watched{name: u.Tenant, pods: map[PodID]*[2]float64{}, limit: Limit{Tenant: u.Tenant, Rate: -1, Tries: tryBudget}}
+			w.tenants[u.Tenant] = t
+		}
+		t.add(u)
+	}
+	var out []Limit
+	causes := w.causes()
+	for _, name := range slices.Sorted(maps.Keys(w.tenants)) {
+		t := w.tenants[name]
+		if before := t.limit; name != Folded {
+			if t.judge(causes[name], w.period); t.limit != before {
+				out = append(out, t.limit)
+			}
+		}
+		if t.idle > forgotten && !t.limit.Fenced && t.limit.Rate < 0 {
+			delete(w.tenants, name)
+		}
+	}
+	return out
+}
+
+// fold keeps the number of tenants within its bound: those that are kept already and the busiest of the new ones.
+func (w *Warden) fold(uses []Use) []Use {
+	fresh := map[string]time.Duration{}
+	for _, u := range uses {
+		if w.tenants[u.Tenant] == nil {
+			fresh[u.Tenant] += u.Busy
+		}
+	}
+	room := mostKept - len(w.tenants)
+	if len(fresh) <= room {
+		return uses
+	}
+	names := slices.SortedFunc(maps.Keys(fresh), func(a, b string) int {
+		return cmp.Or(cmp.Compare(fresh[b], fresh[a]), cmp.Compare(a, b))
+	})
+	for _, name := range names[:max(0, room)] {
+		delete(fresh, name)
+	}
+	out := slices.Clone(uses)
+	for i := range out {
+		if _, folded := fresh[out[i].Tenant]; folded {
+			out[i].Tenant = Folded
+		}
+	}
+	return out
+}
+
+func (t *watched) fade() {
+	t.idle++
+	t.ops, t.failed, t.busy = t.ops*(1-smoothing), t.failed*(1-smoothing), t.busy*(1-smoothing)
+	for _, p := range t.pods {
+		p[0], p[1] = p[0]*(1-smoothing), p[1]*(1-smoothing)
+	}
+}
+
+func (t *watched) add(u Use) {
+	t.idle = 0
+	t.ops += smoothing * u.Ops
+	t.failed += smoothing * min(u.Failed, u.Ops)
+	t.busy += smoothing * u.Busy.Seconds()
+	p := t.pods[u.Pod]
+	if p == nil {
+		p = &[2]float64{}
+		t.pods[u.Pod] = p
+	}
+	p[0] += smoothing * u.Busy.Seconds()
+	p[1] += smoothing * min(u.Failed, u.Ops)
+}
+
+// causes finds, for each pod that suffers, the tenant that takes most of its time or of its failures, far beyond a fair
+// share; it returns the part of what it uses now that would be fair.
+func (w *Warden) causes() map[string]float64 {
+	type pod struct{ busy, failed, ops, users float64 }
+	pods := map[PodID]*pod{}
+	for _, t := range w.tenants {
+		for id, p := range t.pods {
+			if p[0] < 1e-6 && p[1] < 1e-6 {
+				delete(t.pods, id)
+				continue
+			}
+			x := pods[id]
+			if x == nil {
+				x = &pod{}
+				pods[id] = x
+			}
+			x.busy, x.failed, x.users = x.busy+p[0], x.failed+p[1], x.users+1
+			x.ops += t.ops * p[0] / max(t.busy, 1e-9)
+		}
+	}
+	out := map[string]float64{}
+	for name, t := range w.tenants {
+		for id, p := range t.pods {
+			x := pods[id]
+			load, known := w.load[id]
+			sick := x.failed > suffers*x.ops || known && load >= hotLoad
+			fair := x.busy / x.users
+			most := p[0] > dominant*x.busy || p[1] > dominant*x.failed
+			if sick && x.users > 1 && most && p[0] > unfair*fair {
+				part := fair / p[0]
+				if old, ok := out[name]; !ok || part < old {
+					out[name] = part
+				}
+			}
+		}
+	}
+	return out
+}
+
+// judge limits a tenant that goes on being the cause, fences it if the limit did not help, and forgives one that behaves,
+// later each time.
+func (t *watched) judge(part float64, period time.Duration) {
+	if part > 0 {
+		t.bad, t.good = t.bad+1, 0
+	} else {
+		t.bad, t.good = 0, t.good+1
+	}
+	switch {
+	case t.limit.Fenced:
+		// Behind its fence it harms nobody; what counts is whether its own ops fare well.
+		if t.failed > suffers*t.ops {
+			t.good = 0
+		}
+		if t.good >= forgiving<<min(t.fences-1, doublings) {
+			t.limit.Fenced, t.limit.Rate, t.good = false, max(t.ops, 1)/period.Seconds(), 0
+		}
+	case t.limit.Rate >= 0 && t.bad >= patience:
+		t.limit.Fenced, t.bad = true, 0
+		t.fences++
+	case t.limit.Rate < 0 && t.bad >= patience:
+		t.limit.Rate, t.limit.Tries, t.bad = max(1, leave*part*t.ops)/period.Seconds(), 0, 0
+	case t.limit.Rate >= 0 && t.good >= forgiving:
+		t.limit.Rate, t.limit.Tries, t.good = -1, tryBudget, 0
+	}
+}
+
+// Budget is a proxy's account of the tries that it may spend on one tenant beyond the first: a share of its ops, not a
+// count for each, so that a tenant whose every op fails is not tried again forever.
+type Budget struct{ left float64 }
+
+// Op earns for an op; share is the limit's.
+func (b *Budget) Op(share float64) { b.left = min(b.left+share, max(leastTry, 20*share)) }
+
+// Try spends a try; false says that there is none left.
+func (b *Budget) Try() bool {
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
--- /dev/null
+++ b/tenancy/warden_test.go
@@ -0,0 +1,142 @@
+package tenancy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// evening plays periods of twenty tenants on three pods, of which one may do as the case says, and keeps the last limits.
+func evening(w *Warden, periods int, limits map[string]Limit, play func(i int, u *Use), load float64) (changes int) {
+	for range periods {
+		var uses []Use
+		for i := range 20 {
+			for p := range PodID(3) {
+				u := Use{Tenant: fmt.Sprintf("t%d", i), Pod: p, Ops: 10, Busy: time.Second}
+				play(i, &u)
+				uses = append(uses, u)
+			}
+		}
+		for _, l := range w.Step(uses, []Health{{0, load}, {1, load}, {2, load}}) {
+			limits[l.Tenant] = l
+			changes++
+		}
+	}
+	return changes
+}
+
+// The tenant that harms is limited, then fenced, and nobody else is; it is let back once it behaves, later each time.
+func TestWarden(t *testing.T) {
+	fine := func(int, *Use) {}
+	flood := func(i int, u *Use) {
+		if i == 7 { // a tool that tries again at once for ever
+			u.Ops, u.Failed, u.Busy = 2000, 1500, 60*time.Second
+		} else {
+			u.Failed = 3
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		play  func(int, *Use)
+		load  float64
+		fence bool
+	}{
+		{"all fine", fine, 0.5, false},
+		{"busy, nobody unfair", fine, 0.99, false},
+		{"all fail alike", func(i int, u *Use) { u.Failed = 6 }, 0.5, false},
+		{"a big one that harms nobody", func(i int, u *Use) {
+			if i == 7 {
+				u.Ops, u.Busy = 2000, 60*time.Second
+			}
+		}, 0.6, false},
+		{"a flood of repeats", flood, 0.6, true},
+		{"ops that cost thirty times", func(i int, u *Use) {
+			if i == 7 {
+				u.Busy = 60 * time.Second
+			}
+		}, 0.95, true},
+	} {
+		w, limits := NewWarden(time.Second), map[string]Limit{}
+		evening(w, 3, limits, c.play, c.load)
+		if l, ok := limits["t7"]; ok != c.fence || c.fence && (l.Fenced || l.Rate <= 0 || l.Tries != 0) {
+			t.Errorf("%s: after three periods %+v", c.name, limits)
+		}
+		evening(w, 3, limits, c.play, c.load)
+		if l := limits["t7"]; l.Fenced != c.fence || len(limits) > 1 {
+			t.Errorf("%s: after six periods %+v", c.name, limits)
+		}
+	}
+	w, limits := NewWarden(time.Second), map[string]Limit{}
+	back := func() (periods int) {
+		evening(w, 8, limits, flood, 0.6)
+		if !limits["t7"].Fenced {
+			t.Fatalf("%+v", limits)
+		}
+		for ; limits["t7"].Fenced && periods < 1000; periods++ {
+			evening(w, 1, limits, fine, 0.5)
+		}
+		return periods
+	}
+	first := back()
+	second := back()
+	if first < forgiving || second < 2*forgiving || second >= 1000 {
+		t.Errorf("let back after %d periods, then %d", first, second)
+	}
+	evening(w, 20, limits, fine, 0.5)
+	if l := limits["t7"]; l.Rate >= 0 || l.Tries != tryBudget {
+		t.Errorf("never forgiven: %+v", l)
+	}
+	if n := evening(w, 50, limits, fine, 0.5); n != 0 {
+		t.Errorf("%d changes on a calm evening", n)
+	}
+}
+
+// Tenants by the ten thousand, hostile names among them, are kept within bounds; those that stay away are forgotten.
+func TestManyTenants(t *testing.T) {
+	w := NewWarden(time.Second)
+	var uses []Use
+	for i := range 10_000 {
+		uses = append(uses, Use{Tenant: fmt.Sprintf("tenant %d\n;<<", i), Pod: PodID(i % 30), Ops: 1, Busy: time.Duration(i) * time.Millisecond})
+	}
+	uses = append(uses, Use{Tenant: "", Pod: 1, Ops: 1}, Use{Tenant: string(make([]byte, 1<<16)), Pod: 1, Ops: 1, Failed: 50})
+	for range 5 {
+		w.Step(uses, nil)
+	}
+	if len(w.tenants) > mostKept+1 || w.tenants["tenant 9999\n;<<"] == nil || w.tenants[Folded] == nil {
+		t.Errorf("%d tenants are kept", len(w.tenants))
+	}
+	for range forgotten + 2 {
+		w.Step(nil, nil)
+	}
+	if len(w.tenants) != 0 {
+		t.Errorf("%d tenants are never forgotten", len(w.tenants))
+	}
+}
+
+// Tries are a share of a tenant's ops: many ops earn a burst, a tenant whose every op fails has few.
+func TestBudget(t *testing.T) {
+	var b Budget
+	spent := 0
+	for range 1000 {
+		if b.Op(tryBudget); b.Try() {
+			spent++
+		}
+	}
+	if spent < 190 || spent > 201 {
+		t.Errorf("%d tries for 1000 ops", spent)
+	}
+	for range 1000 {
+		b.Op(tryBudget)
+	}
+	burst := 0
+	for b.Try() {
+		burst++
+	}
+	if burst > 5 {
+		t.Errorf("a burst of %d", burst)
+	}
+	var none Budget
+	if none.Op(0); none.Try() {
+		t.Error("a try without a budget")
+	}
+}
