--- a/http1/http1.go
+++ b/http1/http1.go
@@ -192,10 +192,8 @@
 	if end+4 > p.Head {
 		return bad(431, "head over %d bytes", p.Head)
 	}
+	// A bare line feed or carriage return is left standing in its line, where it is no character that is allowed.
 	lines := b[:end+2]
-	if err := strictLines(lines, false); err != nil {
-		return err
-	}
 	first, rest, _ := bytes.Cut(lines, []byte("\r\n"))
 	if len(first) > p.Line {
 		return bad(414, "first line over %d bytes", p.Line)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -421,6 +421,10 @@
 			t.Errorf("refused unrun: %d", r.StatusCode)
 		}
 	}
+	z1 := start(t, func(f *files.Proxy) { f.Service.UsualAgain = "if-unrun" }, refuses)
+	if r, _ := ask(t, z1, "POST / HTTP/1.1\r\nHost: h\r\n\r\n"); r.StatusCode != 503 || r.Header.Get("Retry-After") == "" {
+		t.Errorf("nobody took it: %d", r.StatusCode)
+	}
 	hang := make(chan struct{})
 	defer close(hang)
 	hangs := origin(t, func(w http.ResponseWriter, r *http.Request) { <-hang })
