--- a/files/day.go
+++ b/files/day.go
@@ -50,6 +50,21 @@
 	ZoneShare  []float64 `json:"zone_share,omitempty"`
 	Shape      []Point   `json:"shape,omitempty"` // in place of swing
 	Works      []Work    `json:"works"`
+	Tenants    Callers   `json:"tenants,omitzero"`
+}
+
+// Callers are the tenants of a day: so many, the n-th with a share of 1/n of the first's, to the power given. One may
+// misbehave for a while.
+type Callers struct {
+	Count  int     `json:"count,omitempty"`
+	Zipf   float64 `json:"zipf,omitempty"`
+	Subset int     `json:"subset,omitempty"` // pods that proxies give each; 0: all
+
+	Bad       int      `json:"bad,omitempty"` // its number, from 1; 0: none
+	BadAt     Duration `json:"bad_at,omitempty"`
+	BadLength Duration `json:"bad_length,omitempty"`
+	BadRate   float64  `json:"bad_rate,omitempty"`  // ops a second that it adds
+	BadTimes  float64  `json:"bad_times,omitempty"` // times the work of each
 }
 
 // Work is the work of an op type.
--- a/files/files.go
+++ b/files/files.go
@@ -149,6 +149,15 @@
 	ConnectTimeout Duration `json:"connect_timeout,omitempty"`
 }
 
+// Tenants say whose an op is and how much of the fleet each tenant may use.
+type Tenants struct {
+	Header     string              `json:"header,omitempty"`
+	PathPrefix string              `json:"path_prefix,omitempty"`
+	Networks   map[string][]string `json:"networks,omitempty"`
+	Known      []string            `json:"known,omitempty"`
+	Subset     int                 `json:"subset"` // pods for each; 0: all
+}
+
 // Proxy is the file of a proxy.
 type Proxy struct {
 	Kind       string           `json:"kind"`
@@ -164,6 +173,7 @@
 	RetryAfter Duration         `json:"retry_after,omitempty"`
 	Seed       uint64           `json:"seed,omitempty"`
 	Pool       Pool             `json:"pool,omitzero"`
+	Tenants    *Tenants         `json:"tenants,omitempty"`
 	Service    Service          `json:"service"`
 }
 
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -237,6 +237,9 @@
 		at.file = &files.Proxy{Kind: "proxy", ID: uint16(i), Zone: d.Service.Zones[zone], Listen: "127.0.0.1:0",
 			Rate: f.shares[i] * perSecond, Service: d.Service, Redial: files.Duration(400 * time.Millisecond),
 			Silent: files.Duration(4 * time.Second)}
+		if c := &d.Load.Tenants; c.Count > 0 {
+			at.file.Tenants = &files.Tenants{Header: tenantField, Subset: c.Subset}
+		}
 		for j, p := range f.pilots {
 			l, err := link.Open(fmt.Sprintf("stream %d %d", i, j), p.p.Address(), f.tap,
 				f.way(zone, p.zone, d.Net.Hears, uint64(1000+i*100+j)), f.way(zone, p.zone, d.Net.Push, uint64(500000+i*100+j)))
--- a/lab/load.go
+++ b/lab/load.go
@@ -24,11 +24,15 @@
 	opType  int
 	proxy   int
 	work    time.Duration
+	tenant  int // from 1; 0: nobody's
 	tries   int
 	ended   time.Duration
 	outcome outcome
 }
 
+// tenantField names the tenant of an op.
+const tenantField = "Newsroom"
+
 type outcome byte
 
 const (
@@ -97,6 +101,7 @@
 	}
 	var ops []*op
 	var cumulated []float64
+	tenants := tenantShares(&d.Load.Tenants)
 	until := time.Duration(-1)
 	for at := time.Duration(0); ; {
 		at += time.Duration(rng.ExpFloat64() / most * float64(time.Second))
@@ -124,8 +129,51 @@
 				break
 			}
 		}
+		if n := d.Load.Tenants.Count; n > 0 {
+			o.tenant = 1 + min(sort.SearchFloat64s(tenants, rng.Float64()*tenants[n-1]), n-1)
+		}
+		ops = append(ops, o)
+	}
+}
+
+// tenantShares are the tenants' shares of the traffic, added up.
+func tenantShares(c *files.Callers) (out []float64) {
+	sum := 0.0
+	for i := range c.Count {
+		sum += math.Pow(float64(i+1), -c.Zipf)
+		out = append(out, sum)
+	}
+	return out
+}
+
+// misbehave adds what the day's bad tenant sends beside its usual ops, and makes each of its ops dear.
+func (f *fleet) misbehave(ops []*op) []*op {
+	c := &f.day.Load.Tenants
+	if c.Bad == 0 {
+		return ops
+	}
+	rng := rand.New(rand.NewPCG(f.day.Seed, 5))
+	from, to := c.BadAt.Span(), c.BadAt.Span()+c.BadLength.Span()
+	for at := from; c.BadRate > 0; {
+		if at += time.Duration(rng.ExpFloat64() / c.BadRate * float64(time.Second)); at >= to {
+			break
+		}
+		w := f.day.Load.Works[rng.IntN(len(f.day.Load.Works))]
+		o := &op{at: at, number: uint64(len(ops) + 1), tenant: c.Bad, proxy: rng.IntN(len(f.proxies)), work: drawWork(rng, w)}
+		for i, t := range f.day.Service.OpTypes {
+			if t.Name == w.OpType {
+				o.opType = i
+			}
+		}
 		ops = append(ops, o)
 	}
+	for _, o := range ops {
+		if o.tenant == c.Bad && o.at >= from && o.at < to && c.BadTimes > 0 {
+			o.work = time.Duration(float64(o.work) * c.BadTimes)
+		}
+	}
+	sort.SliceStable(ops, func(i, j int) bool { return ops[i].at < ops[j].at })
+	return ops
 }
 
 func drawWork(rng *rand.Rand, w files.Work) time.Duration {
@@ -238,6 +286,9 @@
 	b = http1.AppendField(b, node.TryField, strconv.Itoa(o.tries))
 	b = http1.AppendField(b, node.TypeField, strconv.Itoa(o.opType))
 	b = http1.AppendField(b, node.WorkField, strconv.FormatInt(o.work.Microseconds(), 10))
+	if o.tenant > 0 {
+		b = http1.AppendField(b, tenantField, "newsroom-"+strconv.Itoa(o.tenant))
+	}
 	if s.types[o.opType].Repeat == control.Deduplicated {
 		b = http1.AppendField(b, "Idempotency-Key", "op-"+strconv.FormatUint(o.number, 10))
 	}
--- a/lab/run.go
+++ b/lab/run.go
@@ -61,7 +61,7 @@
 	for _, at := range f.proxies {
 		s.targets = append(s.targets, at.address)
 	}
-	s.ops = f.drawOps()
+	s.ops = f.misbehave(f.drawOps())
 	from := time.Now()
 	start := from.Sub(f.ledger.From())
 	over := make(chan struct{})
@@ -139,6 +139,7 @@
 	}
 	spent := f.spending(s, r, until-start, connections)
 	r.Service = account(d, s.ops, spent)
+	r.Tenants = tenantAccount(d, s.ops)
 	effects, byNumber := map[uint64]int{}, map[uint64]*op{}
 	for _, x := range f.ledger.Effects() {
 		effects[x.Op]++
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -49,6 +49,7 @@
 	done     sync.WaitGroup
 	started  time.Time
 	tally    tally
+	tenants  *tenants // nil: ops are nobody's
 
 	// ApplyFor, if not nil, is how long a message stalls the proxy before it applies; a rehearsal's way of a slow one.
 	ApplyFor func(m *runtime.Message) time.Duration
@@ -100,6 +101,11 @@
 	}
 	p.now.Store(newTables(len(types), lines, p.rng))
 	p.servers.keep(p.now.Load())
+	if file.Tenants != nil {
+		if p.tenants, err = newTenants(file.Tenants); err != nil {
+			return nil, err
+		}
+	}
 	p.server = &serve.Server{Handle: p.handle, Open: func(c *serve.Conn) bool { c.Data = &scratch{}; return true }}
 	return p, nil
 }
@@ -242,14 +248,17 @@
 	head := string(m.Method) == "HEAD"
 	state := tries{opType: t.OpType, keyed: len(m.Get("Idempotency-Key")) > 0}
 	var tried []*server
+	whose := p.tenants.of(c, m)
+	whose.op()
 	call := &upstream.Call{}
 	c.OnGone(call.GiveUp)
 	defer c.OnGone(nil)
 	var last *upstream.Failure
 	for {
 		begin := time.Now()
+		subset := p.tenants.subset(whose, now.byType[i])
 		e := now.pickFor(i, begin, func(e *server) bool {
-			return (!t.OwnZoneOnly || e.Zone == p.zone) && !slices.Contains(tried, e) && state.at(e.Server, begin)
+			return (subset == nil || slices.Contains(subset, e.pod())) && (!t.OwnZoneOnly || e.Zone == p.zone) && !slices.Contains(tried, e) && state.at(e.Server, begin)
 		})
 		if e == nil {
 			break
@@ -286,7 +295,7 @@
 		}
 		last = fail
 		tried = append(tried, e)
-		if !state.may(l.again) || !time.Now().Before(deadline) {
+		if !state.may(l.again) || !time.Now().Before(deadline) || !whose.try() {
 			break
 		}
 		p.tally.retried.Add(1)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -518,3 +519,55 @@
 		t.Error(r, p.Stat())
 	}
 }
+
+// A tenant's ops go to its subset alone, withdrawn or not, and its tries beyond the first are a share of its ops; ops of
+// nobody have a subset too.
+func TestTenants(t *testing.T) {
+	f := &files.Tenants{Header: "Newsroom", Subset: 2}
+	x, err := newTenants(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := someServers(12) // six pods in two zones
+	lines := []string{"set map op-types * t0"}
+	for i := range 12 {
+		lines = append(lines, lineOf(i, 1))
+	}
+	tab, err := newTables(1, nil, rng()).apply(message(1, lines...), s, 1, rng())
+	if err != nil {
+		t.Fatal(err)
+	}
+	who := &tenant{"delo", &account{}}
+	subset := x.subset(who, tab.byType[0])
+	if len(subset) != 2 {
+		t.Fatalf("%v", subset)
+	}
+	used := map[control.EndpointID]bool{}
+	for range 100 {
+		used[tab.pickFor(0, time.Now(), func(e *server) bool { return slices.Contains(subset, e.pod()) }).id] = true
+	}
+	if len(used) != 2 {
+		t.Errorf("used %v of subset %v", used, subset)
+	}
+	var out []string
+	for id := range used {
+		out = append(out, fmt.Sprintf("set server */e%d state drain", id))
+	}
+	sick, err := tab.apply(message(2, out...), s, 1, rng())
+	if err != nil || !slices.Equal(x.subset(who, sick.byType[0]), subset) {
+		t.Errorf("a tenant whose servers are withdrawn was handed others: %v", err)
+	}
+	if (*tenants)(nil).subset(who, tab.byType[0]) != nil || (*tenants)(nil).of(nil, nil) != nil || !(*tenant)(nil).try() {
+		t.Error("without tenants nothing is bound")
+	}
+	breaks := origin(t, func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) })
+	var came atomic.Int64
+	other := origin(t, func(w http.ResponseWriter, r *http.Request) { came.Add(1); panic(http.ErrAbortHandler) })
+	p := start(t, func(f *files.Proxy) { f.Tenants = &files.Tenants{Header: "Newsroom", Subset: 0} }, breaks, other)
+	for range 100 {
+		ask(t, p, "GET / HTTP/1.1\r\nHost: h\r\nNewsroom: delo\r\n\r\n")
+	}
+	if n := p.tally.retried.Load(); n < 10 || n > 25 {
+		t.Errorf("%d tries beyond the first for 100 ops", n)
+	}
+}
--- a/proxy/tables.go
+++ b/proxy/tables.go
@@ -40,6 +40,7 @@
 	lines  []line // by endpoint
 	levels map[int]level
 	picks  []*picker // by op type
+	drawn  *drawn    // subsets of tenants among its servers
 }
 
 // level is how much of an op type is let in and how tries are repeated.
@@ -128,7 +129,7 @@
 
 // newTable builds a table and its pickers; those of the table before it, if any, hand on where they stand.
 func newTable(name string, lines []line, before *table, types int, rng *rand.Rand) *table {
-	t := &table{name: name, lines: lines, levels: map[int]level{}, picks: make([]*picker, types)}
+	t := &table{name: name, lines: lines, levels: map[int]level{}, picks: make([]*picker, types), drawn: &drawn{}}
 	for i := range t.picks {
 		var from *picker
 		if before != nil {
@@ -137,6 +138,9 @@
 		t.picks[i] = newPicker(lines, from, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())))
 	}
 	if before != nil {
+		if slices.EqualFunc(lines, before.lines, func(a, b line) bool { return a.server == b.server }) {
+			t.drawn = before.drawn
+		}
 		for k, v := range before.levels {
 			t.levels[k] = v
 		}
--- a/tenancy/placement.go
+++ b/tenancy/placement.go
@@ -10,7 +10,7 @@
 
 // PodID numbers a pod: a few servers of one zone that tenants share or do not share as a whole. The design's cells group
 // servers that share a table; a pod is smaller and never called a cell.
-type PodID uint16
+type PodID uint32
 
 // Pod is a pod as it stands.
 type Pod struct {
@@ -57,7 +57,7 @@
 func score(tenant string, p Pod) float64 {
 	h := xxhash.New()
 	_, _ = h.WriteString(tenant)
-	_, _ = h.Write([]byte{0, byte(p.ID), byte(p.ID >> 8)})
+	_, _ = h.Write([]byte{0, byte(p.ID), byte(p.ID >> 8), byte(p.ID >> 16), byte(p.ID >> 24)})
 	u := (float64(h.Sum64()>>11) + 0.5) / (1 << 53)
 	return -p.Power / math.Log(u)
 }
