A pilot limits and fences the tenant that harms others

Need: subsets alone let a flood of dear ops ruin those who share a pod with it for as long as it lasts. Change: proxies send sums by tenant and pod, bounded and folded; the warden's limits go out as set tenant, a rate for each joined proxy, to those who join later too, and give way to the module's lines while the channel is half full. After a limit nobody else is judged until the queues have settled: one run had limited the biggest bystander for five seconds.

--- a/files/day.go
+++ b/files/day.go
@@ -59,6 +59,7 @@
 	Count  int     `json:"count,omitempty"`
 	Zipf   float64 `json:"zipf,omitempty"`
 	Subset int     `json:"subset,omitempty"` // pods that proxies give each; 0: all
+	Limits bool    `json:"limits,omitempty"` // the pilot limits those that harm others
 
 	Bad       int      `json:"bad,omitempty"` // its number, from 1; 0: none
 	BadAt     Duration `json:"bad_at,omitempty"`
--- a/files/files.go
+++ b/files/files.go
@@ -115,7 +115,8 @@
 	Resume    Duration `json:"resume_within,omitempty"`
 	Seed      uint64   `json:"seed,omitempty"`
 	Probes    bool     `json:"probes,omitempty"`
-	Peers     []Peer   `json:"peers,omitempty"` // the other pilots, where they may write to each other
+	Tenants   bool     `json:"tenants,omitempty"` // limit tenants that harm others, by what proxies met of them
+	Peers     []Peer   `json:"peers,omitempty"`   // the other pilots, where they may write to each other
 	Service   Service  `json:"service"`
 	Limits    Limits   `json:"limits"`
 	Channel   Channel  `json:"channel"`
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -214,7 +214,8 @@
 		at.file = &files.Pilot{Kind: "pilot", Name: fmt.Sprintf("pilot-%d", i), Zone: d.Service.Zones[zone], Instance: i,
 			Instances: d.Fleet.Pilots, Proxies: d.Fleet.Proxies, Listen: "127.0.0.1:0", Roster: at.list.Address(),
 			Cache: filepath.Join(f.dir, fmt.Sprintf("list-%d.json", i)), Seed: d.Seed*100 + uint64(i) + 1,
-			Service: d.Service, Limits: d.Limits, Channel: d.Channel, Silent: files.Duration(3 * time.Second)}
+			Service: d.Service, Limits: d.Limits, Channel: d.Channel, Silent: files.Duration(3 * time.Second),
+			Tenants: d.Load.Tenants.Limits}
 		if at.p, err = pilot.New(at.file, f.log); err != nil {
 			return err
 		}
--- a/pilot/book.go
+++ b/pilot/book.go
@@ -18,6 +18,7 @@
 	all     map[int]runtime.Change // levels for all tables, by op type
 	out     map[control.EndpointID]bool
 	proxies map[control.ProxyID]*holder
+	limits  map[string]runtime.Change // of tenants, rates over all proxies
 }
 
 // sheet is one table as ordered.
@@ -35,6 +36,7 @@
 	bound    []*sheet // by op type; nil: its standing table, or what an earlier run gave it
 	told     map[control.EndpointID]bool
 	levelled bool // it has been sent the levels for all
+	limited  bool // it has been sent the tenants' limits
 	cleared  bool // withdrawals of earlier runs are cleared
 	next     uint64
 	changes  []runtime.Change // of the message being written
@@ -42,7 +44,8 @@
 
 func newBook(types, head int, where func(control.EndpointID) (runtime.Server, bool)) *book {
 	return &book{where: where, types: types, head: head, tables: map[control.TableID]*sheet{},
-		all: map[int]runtime.Change{}, out: map[control.EndpointID]bool{}, proxies: map[control.ProxyID]*holder{}}
+		all: map[int]runtime.Change{}, out: map[control.EndpointID]bool{}, proxies: map[control.ProxyID]*holder{},
+		limits: map[string]runtime.Change{}}
 }
 
 // join adds a proxy that is bound to nothing; number is that of the last message that this run sent it.
@@ -149,6 +152,12 @@
 
 // finish takes what is written for a proxy as a message.
 func (b *book) finish(h *holder, checkpoint int) outgoing {
+	if !h.limited {
+		h.limited = true
+		for _, name := range slices.Sorted(maps.Keys(b.limits)) {
+			h.add(b.share(b.limits[name]))
+		}
+	}
 	if !h.levelled {
 		h.levelled = true
 		for _, i := range slices.Sorted(maps.Keys(b.all)) {
@@ -292,3 +301,29 @@
 	}
 	return messages
 }
+
+// share is a tenant's limit as one of the joined proxies keeps it.
+func (b *book) share(c runtime.Change) runtime.Change {
+	if c.Rate > 0 {
+		c.Rate /= float64(max(1, len(b.proxies)))
+	}
+	return c
+}
+
+// limit writes changed limits to all who have been sent any.
+func (b *book) limit(limits []runtime.Change) (messages []outgoing) {
+	for _, c := range limits {
+		if b.limits[c.Tenant] = c; c.Rate < 0 && !c.Fenced {
+			delete(b.limits, c.Tenant)
+		}
+	}
+	for _, h := range b.sorted() {
+		if h.limited {
+			for _, c := range limits {
+				h.add(b.share(c))
+			}
+			messages = append(messages, b.finish(h, -1))
+		}
+	}
+	return messages
+}
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -22,6 +22,7 @@
 	"vetchdoor/runtime"
 	sessions "vetchdoor/session"
 	"vetchdoor/stream"
+	"vetchdoor/tenancy"
 	"vetchdoor/upstream"
 )
 
@@ -57,6 +58,8 @@
 	book         *book
 	channel      *channel
 	intake       *intake
+	warden       *tenancy.Warden // nil: tenants are not limited
+	uses         []tenancy.Use
 	events       []control.Event
 	batch        *time.Timer // set while events wait for their tick
 	pace         *time.Timer // set while a message waits for its time
@@ -229,6 +232,7 @@
 			for _, e := range p.intake.take(p.facts.ReportEvery) {
 				p.event(e)
 			}
+			p.limitTenants()
 		case <-watch.C:
 			p.watch()
 		}
@@ -251,6 +255,9 @@
 	p.book = newBook(len(p.facts.OpTypes), int(p.facts.MessageLines), p.where)
 	p.channel = newChannel(p.facts.LinesPerSecond, p.facts.MostWaiting)
 	p.intake = newIntake(p.facts.ReportLinesPerS, len(p.facts.Measures))
+	if p.uses = nil; p.file.Tenants {
+		p.warden = tenancy.NewWarden(p.facts.ReportEvery)
+	}
 	p.sessions, p.numbers = map[control.ProxyID]*session{}, map[control.ProxyID]uint64{}
 	p.events = []control.Event{control.Start{Facts: p.facts, Seed: p.seed},
 		control.Listing{Kind: control.Cached, Entries: p.entries(p.sortedList())}}
@@ -355,6 +362,37 @@
 	}
 }
 
+// limitTenants has the warden look at a period and sends what it says. Where the channel is half full it waits a period:
+// the module's lines go first.
+func (p *Pilot) limitTenants() {
+	if p.warden == nil || p.channel.waiting > p.channel.most/2 {
+		return
+	}
+	limits := p.warden.Step(p.uses, nil)
+	p.uses = nil
+	var changes []runtime.Change
+	for _, l := range limits {
+		p.log.Warn("a tenant's limit changed", "tenant", l.Tenant, "rate", l.Rate, "fenced", l.Fenced)
+		changes = append(changes, runtime.Change{Verb: runtime.SetTenant, Tenant: l.Tenant, Rate: l.Rate, Tries: l.Tries, Fenced: l.Fenced})
+	}
+	if len(changes) > 0 {
+		p.queue(p.now(), p.book.limit(changes))
+		p.pump()
+	}
+}
+
+// mostUses bounds what is kept of a period's sums by tenant.
+const mostUses = 1 << 16
+
+// used takes in what a proxy met of tenants.
+func (p *Pilot) used(s *runtime.Sums) {
+	for _, t := range s.Tenants {
+		if p.warden != nil && len(p.uses) < mostUses {
+			p.uses = append(p.uses, tenancy.Use{Tenant: t.Tenant, Pod: tenancy.PodID(t.Pod), Ops: float64(t.Ops), Failed: float64(t.Failed), Busy: t.Busy})
+		}
+	}
+}
+
 // do carries out an order that is not for proxies.
 func (p *Pilot) do(o control.Order) {
 	switch o := o.(type) {
--- a/pilot/streams.go
+++ b/pilot/streams.go
@@ -109,6 +109,7 @@
 		p.drop(s)
 	case *runtime.Sums:
 		p.intake.add(p.now(), s.id, s.zone, b)
+		p.used(b)
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -243,20 +243,28 @@
 		p.answer(c, s, 503, "not let in", p.retryAfter())
 		return
 	}
+	whose := p.tenants.of(c, m)
+	allowed, limited := limit{}, false
+	if whose != nil {
+		allowed, limited = now.limits[whose.name]
+	}
+	if !whose.admit(allowed, limited, arrived) {
+		p.tally.rejected.Add(1)
+		p.answer(c, s, 503, "over the tenant's limit", p.retryAfter())
+		return
+	}
 	deadline := arrived.Add(t.OpTimeout)
 	s.out = p.request(s.out[:0], m)
 	head := string(m.Method) == "HEAD"
 	state := tries{opType: t.OpType, keyed: len(m.Get("Idempotency-Key")) > 0}
 	var tried []*server
-	whose := p.tenants.of(c, m)
-	whose.op()
 	call := &upstream.Call{}
 	c.OnGone(call.GiveUp)
 	defer c.OnGone(nil)
 	var last *upstream.Failure
 	for {
 		begin := time.Now()
-		subset := p.tenants.subset(whose, now.byType[i])
+		subset := p.tenants.subset(whose, now.byType[i], allowed.fenced)
 		e := now.pickFor(i, begin, func(e *server) bool {
 			return (subset == nil || slices.Contains(subset, e.pod())) && (!t.OwnZoneOnly || e.Zone == p.zone) && !slices.Contains(tried, e) && state.at(e.Server, begin)
 		})
@@ -272,6 +280,7 @@
 		}
 		a, fail := p.pool.Send(call, e.address, s.out, until, head)
 		took := time.Since(begin)
+		p.tenants.met(whose, e, fail != nil || a.Status >= 500, took)
 		if fail == nil {
 			status := a.Status // the answer is given back by passOn
 			if p.passOn(c, s, a, e, took, &state, begin, l.again, deadline, head) {
@@ -416,6 +425,7 @@
 			s.Servers = append(s.Servers, sum)
 		}
 	}
+	s.Tenants = p.tenants.take()
 	p.orders.send(s.Append(nil))
 }
 
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -538,7 +538,7 @@
 		t.Fatal(err)
 	}
 	who := &tenant{"delo", &account{}}
-	subset := x.subset(who, tab.byType[0])
+	subset := x.subset(who, tab.byType[0], false)
 	if len(subset) != 2 {
 		t.Fatalf("%v", subset)
 	}
@@ -554,12 +554,29 @@
 		out = append(out, fmt.Sprintf("set server */e%d state drain", id))
 	}
 	sick, err := tab.apply(message(2, out...), s, 1, rng())
-	if err != nil || !slices.Equal(x.subset(who, sick.byType[0]), subset) {
+	if err != nil || !slices.Equal(x.subset(who, sick.byType[0], false), subset) {
 		t.Errorf("a tenant whose servers are withdrawn was handed others: %v", err)
 	}
-	if (*tenants)(nil).subset(who, tab.byType[0]) != nil || (*tenants)(nil).of(nil, nil) != nil || !(*tenant)(nil).try() {
+	if (*tenants)(nil).subset(who, tab.byType[0], false) != nil || (*tenants)(nil).of(nil, nil) != nil || !(*tenant)(nil).try() {
 		t.Error("without tenants nothing is bound")
 	}
+	limited, err := tab.apply(message(2, "set tenant =delo rate 2 tries 0 fence on"), s, 1, rng())
+	if err != nil || len(limited.limits) != 1 || len(x.subset(who, limited.byType[0], true)) != 1 {
+		t.Fatal(err)
+	}
+	begin, in := time.Now(), 0
+	who.admit(limit{}, false, begin)
+	for i := range 100 { // ten seconds of ten ops each
+		if l, ok := limited.limits["delo"]; who.admit(l, ok, begin.Add(time.Duration(i)*100*time.Millisecond)) {
+			in++
+		}
+	}
+	if in < 19 || in > 22 {
+		t.Errorf("%d ops let in over ten seconds at two a second", in)
+	}
+	if free, err := limited.apply(message(3, "set tenant =delo rate * tries 0.2 fence off"), s, 1, rng()); err != nil || len(free.limits) != 0 {
+		t.Error("a limit that does not go", err)
+	}
 	breaks := origin(t, func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) })
 	var came atomic.Int64
 	other := origin(t, func(w http.ResponseWriter, r *http.Request) { came.Add(1); panic(http.ErrAbortHandler) })
--- a/proxy/tables.go
+++ b/proxy/tables.go
@@ -59,7 +59,8 @@
 	byType   []*table // what each op type goes by; the standing table if nothing else
 	standing *table
 	out      map[control.EndpointID]bool
-	levels   map[int]level // for all tables
+	levels   map[int]level    // for all tables
+	limits   map[string]limit // of tenants, by the pilot
 }
 
 // bench of servers, by id; one record each, kept while any table names it.
@@ -156,7 +157,10 @@
 	} else { // tables of another run keep their users, not their names
 		n.named = map[control.TableID]*table{}
 	}
-	n.out, n.levels = maps.Clone(t.out), maps.Clone(t.levels)
+	n.out, n.levels, n.limits = maps.Clone(t.out), maps.Clone(t.levels), t.limits
+	if n.pilot != t.pilot || n.run != t.run {
+		n.limits = nil
+	}
 	lines := map[control.TableID][]line{} // of tables being changed
 	fresh := map[control.EndpointID]*server{}
 	record := func(id control.EndpointID, at runtime.Server) *server {
@@ -224,6 +228,14 @@
 			} else {
 				delete(n.out, c.Endpoint)
 			}
+		case runtime.SetTenant:
+			n.limits = maps.Clone(n.limits)
+			if n.limits == nil {
+				n.limits = map[string]limit{}
+			}
+			if n.limits[c.Tenant] = (limit{c.Rate, c.Tries, c.Fenced}); c.Rate < 0 && !c.Fenced {
+				delete(n.limits, c.Tenant)
+			}
 		case runtime.ClearState:
 			clear(n.out)
 		case runtime.SetMap:
--- a/proxy/tenants.go
+++ b/proxy/tenants.go
@@ -1,12 +1,15 @@
 package proxy
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"sync"
+	"time"
 
 	"vetchdoor/files"
 	"vetchdoor/http1"
+	"vetchdoor/runtime"
 	"vetchdoor/serve"
 	"vetchdoor/tenancy"
 	"vetchdoor/tenancy/match"
@@ -18,6 +21,20 @@
 	count int // pods of a subset; 0: all
 	mu    sync.Mutex
 	known map[string]*tenant
+	sums  map[sumKey]*runtime.TenantSum // since the last ones were sent
+}
+
+// sumKey is what is summed up: a tenant at a pod.
+type sumKey struct {
+	name string
+	pod  tenancy.PodID
+}
+
+// limit is what a pilot lets a tenant use here.
+type limit struct {
+	rate   float64
+	tries  float64
+	fenced bool
 }
 
 // tenant is one that sent ops lately.
@@ -30,13 +47,16 @@
 type account struct {
 	mu     sync.Mutex
 	budget tenancy.Budget
+	tokens float64 // ops that it may send now, where its rate is limited
+	last   time.Time
 }
 
 // Bounds of what is kept of tenants; those beyond share one account of tries, and their subsets are drawn each time.
 const (
 	mostTenants = 4096
 	mostDrawn   = 4096
-	tryShare    = 0.2 // tries beyond the first, for each op of a tenant
+	mostSums    = 1024 // tenants at pods in one period; the rest is summed up as one
+	tryShare    = 0.2  // tries beyond the first, for each op of a tenant
 )
 
 func newTenants(f *files.Tenants) (*tenants, error) {
@@ -44,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &tenants{match: m, count: f.Subset, known: map[string]*tenant{}}, nil
+	return &tenants{match: m, count: f.Subset, known: map[string]*tenant{}, sums: map[sumKey]*runtime.TenantSum{}}, nil
 }
 
 // of tells the tenant of an op; nil where there are none.
@@ -80,13 +100,29 @@
 	return &tenant{name, shared.account}
 }
 
-// op earns a share of a try.
-func (x *tenant) op() {
-	if x != nil {
-		x.mu.Lock()
+// admit earns an op's share of a try and tells whether a tenant's limit lets the op in.
+func (x *tenant) admit(l limit, limited bool, now time.Time) bool {
+	if x == nil {
+		return true
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !limited {
 		x.budget.Op(tryShare)
-		x.mu.Unlock()
+		x.tokens, x.last = 1, now
+		return true
 	}
+	x.budget.Op(l.tries)
+	if l.rate < 0 {
+		return true
+	}
+	x.tokens = min(x.tokens+l.rate*now.Sub(x.last).Seconds(), max(1, l.rate))
+	x.last = now
+	if x.tokens < 1 {
+		return false
+	}
+	x.tokens--
+	return true
 }
 
 // try spends one; without tenants nobody counts.
@@ -111,7 +147,7 @@
 
 // subset returns the pods that a tenant may use of a table; nil for all. It is drawn from the pods with a line, withdrawn
 // or not: a tenant that makes its servers sick must not be handed others.
-func (t *tenants) subset(x *tenant, table *table) []tenancy.PodID {
+func (t *tenants) subset(x *tenant, table *table, fenced bool) []tenancy.PodID {
 	if t == nil || t.count == 0 || len(table.lines) == 0 {
 		return nil
 	}
@@ -134,5 +170,49 @@
 			d.of[x.name] = s
 		}
 	}
+	if fenced && len(s) > 1 {
+		return s[:1]
+	}
 	return s
 }
+
+// met sums up a try of a tenant at a server.
+func (t *tenants) met(x *tenant, e *server, failed bool, took time.Duration) {
+	if t == nil || x == nil {
+		return
+	}
+	k := sumKey{x.name, e.pod()}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.sums[k]
+	if s == nil && len(t.sums) >= mostSums {
+		k.name = tenancy.Folded
+		s = t.sums[k]
+	}
+	if s == nil {
+		s = &runtime.TenantSum{Tenant: k.name, Pod: uint32(k.pod)}
+		t.sums[k] = s
+	}
+	s.Ops++
+	s.Busy += took
+	if failed {
+		s.Failed++
+	}
+}
+
+// take returns what was summed up since the last call, by tenant and pod.
+func (t *tenants) take() (out []runtime.TenantSum) {
+	if t == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.sums {
+		out = append(out, *s)
+	}
+	clear(t.sums)
+	slices.SortFunc(out, func(a, b runtime.TenantSum) int {
+		return cmp.Or(cmp.Compare(a.Tenant, b.Tenant), cmp.Compare(a.Pod, b.Pod))
+	})
+	return out
+}
--- a/runtime/block.go
+++ b/runtime/block.go
@@ -110,6 +110,15 @@
 	Window  time.Duration
 	Types   []TypeSum
 	Servers []ServerSum
+	Tenants []TenantSum
+}
+
+// TenantSum is what was met of a tenant at a pod; Busy is the time that servers held its ops.
+type TenantSum struct {
+	Tenant      string
+	Pod         uint32
+	Ops, Failed int
+	Busy        time.Duration
 }
 
 // TypeSum is what came of one op type.
@@ -137,6 +146,9 @@
 		}
 		b = append(b, '\n')
 	}
+	for _, t := range s.Tenants {
+		b = fmt.Appendf(b, "tenant %s %d %d %d %d\n", Quote("="+t.Tenant), t.Pod, t.Ops, t.Failed, t.Busy.Microseconds())
+	}
 	return append(b, '\n')
 }
 
@@ -274,6 +286,11 @@
 			e.Load = append(e.Load, w.float("load"))
 		}
 		s.Servers = append(s.Servers, e)
+	case "tenant":
+		t := TenantSum{Tenant: w.tenant(), Pod: uint32(w.uint("pod", math.MaxUint32)), Ops: int(w.uint("ops", mostCount))}
+		t.Failed = int(w.uint("failed", mostCount))
+		t.Busy = time.Duration(w.uint("busy", 3600e9)) * time.Microsecond
+		s.Tenants = append(s.Tenants, t)
 	default:
 		w.fail("%q is no kind of sum", kind)
 	}
@@ -283,6 +300,15 @@
 	return w.err
 }
 
+// tenant reads a tenant's name, which a sign goes before, so that the name of nobody is a word too.
+func (w *wordReader) tenant() string {
+	name, ok := strings.CutPrefix(w.take(), "=")
+	if !ok || len(name) > 256 {
+		w.fail("%.40q is no tenant", name)
+	}
+	return name
+}
+
 // Welcome is the pilot's answer to a hello, a command line of its own.
 type Welcome struct {
 	Pilot   string
--- a/runtime/change.go
+++ b/runtime/change.go
@@ -24,6 +24,7 @@
 	SetMap                     // op types to a table
 	ClearTable                 // all lines and levels of a table go
 	SetLevel                   // how much of op types is let in, and how tries are repeated
+	SetTenant                  // what a tenant may use: Rate, Tries, Fenced
 )
 
 // Change is one line of a pilot's message.
@@ -37,6 +38,10 @@
 	OpTypes  uint16 // a bit for each; 0: all
 	Level    float64
 	Again    control.Again
+	Tenant   string
+	Rate     float64 // ops a second at this proxy; below 0: no limit
+	Tries    float64 // beyond the first, for each op
+	Fenced   bool    // to one pod of its subset alone
 }
 
 // Server is what a proxy must know of an endpoint to send ops there and to try them again safely.
@@ -79,6 +84,17 @@
 		b = appendTypes(append(b, ' '), c.OpTypes)
 		b = number(append(b, ' '), c.Level)
 		b = append(append(b, " again "...), agains[c.Again]...)
+	case SetTenant:
+		b = append(append(b, "set tenant "...), Quote("="+c.Tenant)...)
+		if b = append(b, " rate "...); c.Rate < 0 {
+			b = append(b, '*')
+		} else {
+			b = number(b, c.Rate)
+		}
+		b = number(append(b, " tries "...), c.Tries)
+		if b = append(b, " fence off"...); c.Fenced {
+			b = append(b[:len(b)-len("off")], "on"...)
+		}
 	}
 	return b
 }
@@ -160,6 +176,25 @@
 		}
 		w.expect("again")
 		w.again(&c)
+	case "set tenant":
+		c.Verb, c.Tenant, c.Rate = SetTenant, w.tenant(), -1
+		if w.expect("rate"); len(w.words) > 0 && w.words[0] == "*" {
+			w.take()
+		} else if c.Rate = w.float("rate"); c.Rate < 0 {
+			w.fail("rate %v is below 0", c.Rate)
+		}
+		w.expect("tries")
+		if c.Tries = w.float("tries"); c.Tries < 0 {
+			w.fail("tries %v are below 0", c.Tries)
+		}
+		w.expect("fence")
+		switch on := w.take(); on {
+		case "on":
+			c.Fenced = true
+		case "off":
+		default:
+			w.fail("fence %q is neither on nor off", on)
+		}
 	default:
 		return c, ErrNoChange
 	}
--- a/runtime/runtime_test.go
+++ b/runtime/runtime_test.go
@@ -97,6 +97,8 @@
 		{Verb: ClearTable, Table: 0},
 		{Verb: SetLevel, Table: control.Everywhere, OpTypes: 2, Level: 0.86, Again: control.IfUnrun},
 		{Verb: SetLevel, Table: 9, Level: 0, Again: control.TwiceMore},
+		{Verb: SetTenant, Tenant: "a b;", Rate: -1, Tries: 0.2},
+		{Verb: SetTenant, Tenant: "", Rate: 0.5, Fenced: true},
 	}
 }
 
@@ -122,7 +124,7 @@
 		"add server t1/e1 127.0.0.1:80 weight 1 zone 256 pack 0", "add server t1 127.0.0.1:80 weight 1 zone 0 pack 0",
 		"add server t65535/e1 127.0.0.1:80 weight 1 zone 0 pack 0", "set server t1/e1 weight -1", "set server t1/e1 weight 1 more",
 		"set server t1/e1 weight +Inf", "set server */e1 state maint", "set server */* state drain", "set map op-types 16 t1",
-		"set map op-types 0 *", "set level * 0 -1 again never", "set level * 0 1 again always", "set level * 0 1", "clear table *",
+		"set map op-types 0 *", "set level * 0 -1 again never", "set level * 0 1 again always", "set level * 0 1", "set tenant delo rate 1 tries 0 fence on", "set tenant =delo rate -1 tries 0 fence on", "set tenant =a rate 1 tries 0 fence maybe", "clear table *",
 		"del server t1/e4294967296", "show info", "set server t1/e1 weight 1;del server t1/e1"} {
 		c := Command{Words: strings.Fields("apply p 1 1 at 0 lines 2"), HasPayload: true,
 			Payload: []string{"set server t1/e1 weight 2", line}}
@@ -134,7 +136,8 @@
 
 func TestBlocks(t *testing.T) {
 	hello := &Hello{Proxy: 9, Token: "x y", Zone: 2, Rate: 12.5, Pilot: "-", Window: 4096, Standing: []control.EndpointID{1, 4294967295}}
-	sums := &Sums{Window: time.Second, Types: []TypeSum{{1, 20, 3}}, Servers: []ServerSum{{7, 10, 1, 45 * time.Millisecond, []float64{0.5, 3}}, {8, 1, 1, 0, nil}}}
+	sums := &Sums{Window: time.Second, Types: []TypeSum{{1, 20, 3}}, Servers: []ServerSum{{7, 10, 1, 45 * time.Millisecond, []float64{0.5, 3}}, {8, 1, 1, 0, nil}},
+		Tenants: []TenantSum{{"", 3, 4, 1, time.Second}, {"de lo", 1 << 31, 1, 0, 0}}}
 	want := []any{hello, InForce{5, 6, 7, true}, InForce{5, 6, -1, false}, Refused{1, 2, "not this"}, sums}
 	text := hello.Append(nil)
 	text = want[1].(InForce).Append(text)
--- a/tenancy/warden.go
+++ b/tenancy/warden.go
@@ -20,6 +20,7 @@
 	smoothing = 0.5  // the newest sums' part in a running mean
 	tryBudget = 0.2  // tries beyond the first, for each op: what a proxy may spend on a tenant
 	leastTry  = 3    // tries a period that are always allowed
+	settling  = 4    // periods after a limit or a fence in which nobody else is judged: what it stopped is still in the queues
 	forgotten = 60   // periods without an op after which a tenant is no longer kept
 	mostKept  = 4096 // tenants kept one by one; the lightest beyond are folded into one
 )
@@ -65,11 +66,12 @@
 	period  time.Duration
 	tenants map[string]*watched
 	load    map[PodID]float64
+	settled int // periods since somebody was limited or fenced
 }
 
 // NewWarden starts one; sums come once a period.
 func NewWarden(period time.Duration) *Warden {
-	return &Warden{period: period, tenants: map[string]*watched{}, load: map[PodID]float64{}}
+	return &Warden{period: period, tenants: map[string]*watched{}, load: map[PodID]float64{}, settled: settling}
 }
 
 // Folded is the name under which the lightest tenants are kept together where there are too many; it is never limited.
@@ -93,11 +95,18 @@
 	}
 	var out []Limit
 	causes := w.causes()
+	w.settled++
 	for _, name := range slices.Sorted(maps.Keys(w.tenants)) {
 		t := w.tenants[name]
 		if before := t.limit; name != Folded {
-			if t.judge(causes[name], w.period); t.limit != before {
-				out = append(out, t.limit)
+			cause := causes[name]
+			if w.settled < settling && before.Rate < 0 {
+				cause = 0
+			}
+			if t.judge(cause, w.period); t.limit != before {
+				if out = append(out, t.limit); t.limit.Fenced || t.limit.Rate >= 0 && before.Rate < 0 {
+					w.settled = 0
+				}
 			}
 		}
 		if t.idle > forgotten && !t.limit.Fenced && t.limit.Rate < 0 {
--- a/tenancy/warden_test.go
+++ b/tenancy/warden_test.go
@@ -66,7 +66,20 @@
 			t.Errorf("%s: after six periods %+v", c.name, limits)
 		}
 	}
+	// While the queues that a flood left still make pods suffer, the biggest of the others is no cause.
 	w, limits := NewWarden(time.Second), map[string]Limit{}
+	evening(w, 4, limits, flood, 0.6)
+	evening(w, 3, limits, func(i int, u *Use) {
+		if u.Failed = 3; i == 2 {
+			u.Busy = 30 * time.Second
+		} else if i == 7 {
+			u.Ops, u.Busy = 0, 0
+		}
+	}, 0.6)
+	if len(limits) != 1 {
+		t.Errorf("%+v", limits)
+	}
+	w, limits = NewWarden(time.Second), map[string]Limit{}
 	back := func() (periods int) {
 		evening(w, 8, limits, flood, 0.6)
 		if !limits["t7"].Fenced {
