Limits reach proxies that were sent nothing yet

Cause: a proxy that had joined but had no message so far got a tenant's limit only with its first message, which may be long in coming. Seen by a test over sockets. Change: a limit is a reason to write to it; it gets all that stand.

--- a/pilot/book.go
+++ b/pilot/book.go
@@ -153,10 +153,7 @@
 // finish takes what is written for a proxy as a message.
 func (b *book) finish(h *holder, checkpoint int) outgoing {
 	if !h.limited {
-		h.limited = true
-		for _, name := range slices.Sorted(maps.Keys(b.limits)) {
-			h.add(b.share(b.limits[name]))
-		}
+		h.addLimits(b)
 	}
 	if !h.levelled {
 		h.levelled = true
@@ -310,7 +307,7 @@
 	return c
 }
 
-// limit writes changed limits to all who have been sent any.
+// limit writes changed limits to all; one who has not been sent any gets them all.
 func (b *book) limit(limits []runtime.Change) (messages []outgoing) {
 	for _, c := range limits {
 		if b.limits[c.Tenant] = c; c.Rate < 0 && !c.Fenced {
@@ -322,8 +319,20 @@
 			for _, c := range limits {
 				h.add(b.share(c))
 			}
+		} else {
+			h.addLimits(b)
+		}
+		if len(h.changes) > 0 {
 			messages = append(messages, b.finish(h, -1))
 		}
 	}
 	return messages
 }
+
+// addLimits writes a proxy all limits that stand.
+func (h *holder) addLimits(b *book) {
+	h.limited = true
+	for _, name := range slices.Sorted(maps.Keys(b.limits)) {
+		h.add(b.share(b.limits[name]))
+	}
+}
--- a/pilot/book_test.go
+++ b/pilot/book_test.go
@@ -141,3 +141,30 @@
 		t.Fatalf("%+v", got)
 	}
 }
+
+// A tenant's limit goes to all who are joined, a part of the rate to each, and to those who join later with their first
+// message; one that is lifted goes to nobody new.
+func TestBookLimits(t *testing.T) {
+	b := newBook(1, 3, at)
+	b.join(1, nil, false, 0)
+	b.join(2, nil, false, 0)
+	b.write([]control.Order{control.Checkpoint{Number: 1, All: true}})
+	limit := runtime.Change{Verb: runtime.SetTenant, Tenant: "delo", Rate: 8, Fenced: true}
+	if got := text(b.limit([]runtime.Change{limit})); got != "p1 #2 4; set tenant =delo rate 4 tries 0 fence on\np2 #2 4; set tenant =delo rate 4 tries 0 fence on" {
+		t.Error(got)
+	}
+	b.join(3, nil, false, 0)
+	got, _ := b.write([]control.Order{control.Checkpoint{Number: 2, All: true}})
+	if s := text(got); !strings.HasSuffix(s, "p3 #1 5 ?2; set tenant =delo rate 2.6666666666666665 tries 0 fence on") {
+		t.Error(s)
+	}
+	limit.Rate, limit.Fenced, limit.Tries = -1, false, 0.2
+	if got := text(b.limit([]runtime.Change{limit})); strings.Count(got, "set tenant =delo rate * tries 0.2 fence off") != 3 {
+		t.Error(got)
+	}
+	b.join(4, nil, false, 0)
+	got, _ = b.write([]control.Order{control.Checkpoint{Number: 3, All: true}})
+	if s := text(got); strings.Contains(s, "p4 #1 4 ?3;") {
+		t.Error(s)
+	}
+}
--- a/pilot/pilot_test.go
+++ b/pilot/pilot_test.go
@@ -484,3 +484,45 @@
 		r.module.mu.Unlock()
 	}
 }
+
+// What proxies meet of tenants comes back as limits on the one that harms the others, and a name of any kind passes.
+func TestTenantLimits(t *testing.T) {
+	f := pilotFile("127.0.0.1:1")
+	f.Tenants = true
+	r := &rig{t: t, module: &script{}}
+	r.start(f)
+	defer r.p.Stop()
+	c, in := dial(t, r.p.Address())
+	fmt.Fprintf(c, hello, 1, "x")
+	done := make(chan struct{})
+	defer func() { c.Close(); <-done }()
+	go func() {
+		defer close(done)
+		for {
+			s := runtime.Sums{Window: 50 * time.Millisecond}
+			for i := range 10 {
+				x := runtime.TenantSum{Tenant: fmt.Sprint("t ", i), Pod: 1, Ops: 10, Failed: 2, Busy: time.Second}
+				if i == 3 {
+					x.Ops, x.Failed, x.Busy = 1000, 900, time.Minute
+				}
+				s.Tenants = append(s.Tenants, x)
+			}
+			if _, err := c.Write(s.Append(nil)); err != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasPrefix(line, "set tenant ") && !strings.HasPrefix(line, `set tenant =t\ 3 rate `) {
+			t.Fatalf("limited a bystander: %s", line)
+		}
+		if strings.HasSuffix(line, " fence on\n") {
+			return
+		}
+	}
+}
