--- a/cmd/vetchdoor/main_test.go
+++ b/cmd/vetchdoor/main_test.go
@@ -240,7 +240,14 @@
 		run(2, paths[name], "lab", "run", paths[name])
 		run(2, paths[name], "lab", "import", paths[name])
 	}
-	run(2, "1 of 1", "check", paths["torn"])
+	for _, name := range []string{"empty", "torn", "deep"} {
+		run(2, "1 of 1", "check", paths[name])
+	}
+	faulty := filepath.Join(dir, "faulty.json")
+	write(t, faulty, object{"kind": "roster", "listen": "127.0.0.1:0", "zones": []string{"z"}, "entries": []object{{"endpoint": 1, "address": "127.0.0.1:99999", "zone": "z"}}})
+	run(1, "1 of 1", "check", faulty)
+	run(2, "2 of 2", "check", faulty, paths["torn"])
+	run(2, faulty, "roster", "--file", faulty)
 	run(0, "", "check", "--json", paths["other"])
 	run(0, "", "schema", "day")
 	run(2, "nokind", "schema", "nokind")
--- a/cmd/vetchdoor/tools.go
+++ b/cmd/vetchdoor/tools.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -42,12 +43,16 @@
 		Short: "checks files of any kind against their schemas and for contradictions",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			bad := 0
+			bad, unread := 0, 0
 			for _, path := range args {
 				kind, err := files.Check(path)
 				if err != nil {
 					bad++
 				}
+				// A file of ours with a fault in it fails the check; one that is none of ours is bad input.
+				if f := new(files.Fault); err != nil && (!errors.As(err, &f) || f.Pointer == "" || f.Pointer == "/kind") {
+					unread++
+				}
 				line := path + ": good, a file of kind " + kind
 				if err != nil {
 					line = err.Error()
@@ -67,6 +72,9 @@
 				}
 				fmt.Fprintln(cmd.OutOrStdout(), line)
 			}
+			if bad > 0 && unread == 0 {
+				return failure{fmt.Errorf("%d of %d files are not good", bad, len(args))}
+			}
 			if bad > 0 {
 				return fmt.Errorf("%d of %d files are not good", bad, len(args))
 			}
