--- a/http1/write.go
+++ b/http1/write.go
@@ -9,6 +9,9 @@
 	504: "Gateway Timeout", 505: "HTTP Version Not Supported",
 }
 
+// UnrunHeader marks a refusal by a server as proof that the op did not run.
+const UnrunHeader = "Op-Unrun"
+
 // AppendStatus appends the status line of a response; its fields follow.
 func AppendStatus(b []byte, status int) []byte {
 	b = append(b, "HTTP/1.1 "...)
--- a/lab/check.go
+++ b/lab/check.go
@@ -42,6 +42,7 @@
 // history is what the taps show, by pilot and by proxy.
 type history struct {
 	lists   [][]listed // by pilot
+	places  places     // where endpoints stand, by the lists
 	streams []*streamSeen
 }
 
@@ -76,7 +77,7 @@
 
 // read makes a history of the taps. What cannot be read is an error: the parts speak a wire that this checker knows.
 func (e *evidence) read(pilots int) (*history, error) {
-	h := &history{lists: make([][]listed, pilots)}
+	h := &history{lists: make([][]listed, pilots), places: places{}}
 	byConn := map[int][]link.Passed{}
 	var order []int
 	for _, p := range e.passed {
@@ -93,7 +94,7 @@
 		case "list":
 			var n int
 			fmt.Sscan(name[1], &n)
-			h.lists[n], err = e.readList(h.lists[n], pieces)
+			h.lists[n], err = e.readList(h.lists[n], h.places, pieces)
 		case "stream":
 			s := &streamSeen{joined: -1, ended: e.until}
 			fmt.Sscan(name[1], &s.proxy)
@@ -112,7 +113,7 @@
 	return h, nil
 }
 
-func (e *evidence) readList(to []listed, pieces []link.Passed) ([]listed, error) {
+func (e *evidence) readList(to []listed, at places, pieces []link.Passed) ([]listed, error) {
 	now := map[control.EndpointID]bool{}
 	for _, l := range to {
 		now[l.endpoint] = true
@@ -144,7 +145,9 @@
 					started = time.UnixMilli(x.Started).Sub(e.from)
 				}
 				to = append(to, listed{p.Gone, x.Endpoint, mode, started})
-				named[x.Endpoint], now[x.Endpoint] = true, true
+				if named[x.Endpoint], now[x.Endpoint] = true, true; mode != control.Gone {
+					at[x.Endpoint] = place{x.Zone, x.Pack}
+				}
 			}
 			if u.Kind == "full" {
 				for id := range now {
@@ -221,20 +224,16 @@
 	return nil
 }
 
-// check returns all breaks of the five rules, by time.
-func (e *evidence) check(pilots int) ([]Break, error) {
-	h, err := e.read(pilots)
-	if err != nil {
-		return nil, err
-	}
-	var out []Break
+// check returns all breaks of the five rules that a history shows, by time; none, not nil, where there is none.
+func (e *evidence) check(h *history) []Break {
+	out := []Break{}
 	out = append(out, e.neverBare(h)...)
-	out = append(out, e.neverTwice()...)
+	out = append(out, e.neverTwice(h)...)
 	out = append(out, e.drainsKept(h)...)
 	out = append(out, e.coldKept(h)...)
 	out = append(out, e.queueShort(h)...)
 	slices.SortStableFunc(out, func(a, b Break) int { return cmp.Compare(a.At, b.At) })
-	return out, nil
+	return out
 }
 
 // holdings are a proxy's tables as its confirmations show them; the checker's own account, kept as the wire's page says.
@@ -378,7 +377,7 @@
 }
 
 // neverTwice checks rule 2 on what reached the nodes: the tries of one client try are the proxy's.
-func (e *evidence) neverTwice() (out []Break) {
+func (e *evidence) neverTwice(h *history) (out []Break) {
 	type key struct {
 		op    uint64
 		try   int
@@ -391,7 +390,6 @@
 			tries[key{a.Op, a.Try, a.Proxy}] = append(tries[key{a.Op, a.Try, a.Proxy}], a)
 		}
 	}
-	places := e.places()
 	for k, list := range tries {
 		if len(list) < 2 {
 			continue
@@ -406,7 +404,7 @@
 					what = "a once-only op was tried again after a try that may have run"
 				case t.Repeat == control.Deduplicated && a.At-ran[0].At > t.DedupWindow:
 					what = "a deduplicated op was tried again after its window"
-				case t.Repeat == control.Deduplicated && !places.same(t.Group, a.Endpoint, ran[0].Endpoint):
+				case t.Repeat == control.Deduplicated && !h.places.same(t.Group, a.Endpoint, ran[0].Endpoint):
 					what = "a deduplicated op was tried again outside its group"
 				}
 				if what != "" {
@@ -430,34 +428,6 @@
 
 type places map[control.EndpointID]place
 
-// places reads where endpoints stand from what the list service sent.
-func (e *evidence) places() places {
-	out := places{}
-	bufs := map[int][]byte{}
-	for _, p := range e.passed {
-		if p.Direction != link.Down || !strings.HasPrefix(p.Link, "list") {
-			continue
-		}
-		bufs[p.Conn] = append(bufs[p.Conn], p.Data...)
-		for {
-			line, rest, ok := bytes.Cut(bufs[p.Conn], []byte("\n"))
-			if !ok {
-				break
-			}
-			bufs[p.Conn] = rest
-			var u roster.Update
-			if json.Unmarshal(line, &u) == nil {
-				for _, x := range u.Entries {
-					if x.Mode != "gone" {
-						out[x.Endpoint] = place{x.Zone, x.Pack}
-					}
-				}
-			}
-		}
-	}
-	return out
-}
-
 func (p places) same(g control.Group, a, b control.EndpointID) bool {
 	switch x, y := p[a], p[b]; g {
 	case control.GroupZone:
@@ -468,19 +438,14 @@
 	return true
 }
 
-// joinedTo returns the stream that a proxy has at a time, and since when it has been joined to that run without a break
-// that the pilot noticed.
-func (h *history) joinedTo(byProxy map[int][]*streamSeen, proxy int, at time.Duration) (*streamSeen, time.Duration) {
-	var found *streamSeen
-	for _, s := range byProxy[proxy] {
+// joinedTo returns the stream that a proxy, of these, has at a time; nil if none.
+func joinedTo(streams []*streamSeen, at time.Duration) (found *streamSeen) {
+	for _, s := range streams {
 		if s.joined >= 0 && s.joined <= at && at <= s.ended {
 			found = s
 		}
 	}
-	if found == nil {
-		return nil, 0
-	}
-	return found, found.joined
+	return found
 }
 
 func (h *history) byProxy() map[int][]*streamSeen {
@@ -518,7 +483,7 @@
 	}
 	flagged := map[[2]int]bool{}
 	for _, a := range e.arrivals {
-		s, joined := h.joinedTo(byProxy, a.Proxy, a.At)
+		s := joinedTo(byProxy[a.Proxy], a.At)
 		if s == nil || flagged[[2]int{a.Proxy, int(a.Endpoint)}] {
 			continue
 		}
@@ -526,7 +491,7 @@
 		if !known || mode == control.Ready {
 			continue
 		}
-		if late := a.At - max(since, joined); late > e.limits.DrainGrace.Span()+slack {
+		if late := a.At - max(since, s.joined); late > e.limits.DrainGrace.Span()+slack {
 			flagged[[2]int{a.Proxy, int(a.Endpoint)}] = true
 			out = append(out, Break{3, a.At, fmt.Sprintf("proxy %d sent to e%d %v after its pilot knew that it was %s",
 				a.Proxy, a.Endpoint, late.Round(time.Millisecond), [...]string{"gone", "draining"}[mode])})
@@ -545,7 +510,7 @@
 				continue
 			}
 			all += a.Work
-			s, _ := h.joinedTo(byProxy, a.Proxy, a.At)
+			s := joinedTo(byProxy[a.Proxy], a.At)
 			if s == nil {
 				continue
 			}
--- a/lab/check_test.go
+++ b/lab/check_test.go
@@ -23,6 +23,7 @@
 type scene struct {
 	evidence
 	number uint64
+	breaks []Break // as last checked
 }
 
 const s = time.Second
@@ -85,12 +86,13 @@
 
 func (c *scene) rules(t *testing.T) string {
 	t.Helper()
-	breaks, err := c.check(1)
+	h, err := c.read(1)
 	if err != nil {
 		t.Fatal(err)
 	}
+	c.breaks = c.check(h)
 	out := ""
-	for _, b := range breaks {
+	for _, b := range c.breaks {
 		out += fmt.Sprint(b.Rule)
 	}
 	return out
@@ -185,8 +187,7 @@
 			x := newScene()
 			c.play(x)
 			if got := x.rules(t); got != c.want {
-				b, _ := x.check(1)
-				t.Errorf("rules broken: %q, want %q: %v", got, c.want, b)
+				t.Errorf("rules broken: %q, want %q: %v", got, c.want, x.breaks)
 			}
 		})
 	}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -420,7 +421,7 @@
 	if f.list != nil {
 		f.list.Close()
 	}
-	for _, n := range append(append([]*node.Node(nil), f.nodes...), f.spare...) {
+	for _, n := range slices.Concat(f.nodes, f.spare) {
 		all.Go(n.Stop)
 	}
 	all.Wait()
@@ -432,7 +433,7 @@
 // Tallies of the fleet for the account.
 func (f *fleet) nodeByID() map[control.EndpointID]*node.Node {
 	out := map[control.EndpointID]*node.Node{}
-	for _, n := range append(append([]*node.Node(nil), f.nodes...), f.spare...) {
+	for _, n := range slices.Concat(f.nodes, f.spare) {
 		out[n.Endpoint()] = n
 	}
 	return out
--- a/lab/node/node.go
+++ b/lab/node/node.go
@@ -314,7 +314,7 @@
 	switch {
 	case !j.Taken:
 		n.mu.Unlock()
-		b := http1.AppendField(http1.AppendStatus(nil, 503), "Op-Unrun", "1")
+		b := http1.AppendField(http1.AppendStatus(nil, 503), http1.UnrunHeader, "1")
 		b = http1.AppendField(b, "Retry-After", "1")
 		_ = c.Write(http1.AppendBody(n.report(b), nil))
 		return
--- a/lab/run.go
+++ b/lab/run.go
@@ -113,19 +113,12 @@
 	d := f.day
 	e := &evidence{service: &d.Service, limits: &d.Limits, channel: &d.Channel, from: f.ledger.From(), passed: f.tap.All(),
 		arrivals: f.ledger.Arrivals(), falls: f.ledger.Falls(), until: until}
-	breaks, err := e.check(len(f.pilots))
-	if breaks == nil {
-		breaks = []Break{} // as JSON: none, not null
-	}
-	if err != nil {
-		return nil, err
-	}
-	r := &Report{Day: d.Name, Seed: d.Seed, Took: time.Since(begin), Nodes: len(f.nodes), Proxies: len(f.proxies),
-		Pilots: len(f.pilots), PerSecond: f.perSecond(), Ops: len(s.ops), Breaks: breaks, Falls: len(f.ledger.Falls())}
 	h, err := e.read(len(f.pilots))
 	if err != nil {
 		return nil, err
 	}
+	r := &Report{Day: d.Name, Seed: d.Seed, Took: time.Since(begin), Nodes: len(f.nodes), Proxies: len(f.proxies),
+		Pilots: len(f.pilots), PerSecond: f.perSecond(), Ops: len(s.ops), Breaks: e.check(h), Falls: len(f.ledger.Falls())}
 	for _, x := range h.streams {
 		if x.joined >= 0 && x.resumed {
 			r.Resumes++
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -276,7 +276,7 @@
 	p.deciding += p.now() - now
 	p.batches++
 	if fault != nil {
-		p.restart(fault, events)
+		p.restart()
 		return
 	}
 	messages, rest := p.book.write(orders)
@@ -312,7 +312,7 @@
 }
 
 // restart goes on after a panic as a new run: the streams are closed, the proxies keep their tables and join again.
-func (p *Pilot) restart(fault any, events []control.Event) {
+func (p *Pilot) restart() {
 	p.panics++
 	p.run++
 	for w := range p.wires {
--- a/proxy/admin.go
+++ b/proxy/admin.go
@@ -12,21 +12,7 @@
 	"vetchdoor/session"
 )
 
-func controlID(p *Proxy) control.ProxyID { return control.ProxyID(p.file.ID) }
-
-// admin is the socket for people.
-type admin struct{ *session.Listener }
-
-func (a *admin) close() { a.Listener.Close() }
-
-func startAdmin(p *Proxy, address string) (*admin, error) {
-	l, err := session.Listen(address, "vetchdoor proxy", p.commands())
-	if err != nil {
-		return nil, err
-	}
-	return &admin{l}, nil
-}
-
+// commands are those of the socket for people.
 func (p *Proxy) commands() []session.Command {
 	return []session.Command{
 		{Words: "show info", Help: "what this proxy is and has done", Do: p.showInfo},
--- a/proxy/orders.go
+++ b/proxy/orders.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"vetchdoor/control"
 	"vetchdoor/runtime"
 	"vetchdoor/stream"
 )
@@ -95,7 +96,7 @@
 	p := o.proxy
 	p.mu.Lock()
 	t := p.now.Load()
-	h := runtime.Hello{Proxy: controlID(p), Token: p.token, Zone: p.zone, Rate: p.file.Rate, Pilot: t.pilot, Run: t.run,
+	h := runtime.Hello{Proxy: control.ProxyID(p.file.ID), Token: p.token, Zone: p.zone, Rate: p.file.Rate, Pilot: t.pilot, Run: t.run,
 		Number: t.number, Window: window, Standing: p.standing}
 	p.mu.Unlock()
 	if h.Pilot == "" {
@@ -219,7 +220,7 @@
 		}
 		m, err := runtime.ParseMessage(cmd)
 		if err != nil {
-			l.refuse(cmd, err)
+			_ = c.Send(runtime.Refused{Reason: err.Error()}.Append(nil))
 			return err
 		}
 		l.mu.Lock()
@@ -239,12 +240,6 @@
 	return errors.New("not a command of a pilot's stream: " + cmd.String())
 }
 
-// refuse tells the pilot that a message could not be read, as far as its head can be.
-func (l *link) refuse(cmd runtime.Command, err error) {
-	r := runtime.Refused{Reason: err.Error()}
-	_ = l.conn.Send(r.Append(nil))
-}
-
 // applyAll applies what was taken in, in order, until the stream ends; what is left then is dropped, and the pilot,
 // which has no word of it, sends it again or anew.
 func (l *link) applyAll() {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -22,12 +22,10 @@
 	"vetchdoor/http1"
 	"vetchdoor/runtime"
 	"vetchdoor/serve"
+	"vetchdoor/session"
 	"vetchdoor/upstream"
 )
 
-// UnrunHeader marks a refusal by a server as proof that the op did not run.
-const UnrunHeader = "Op-Unrun"
-
 // Proxy is a running proxy.
 type Proxy struct {
 	file     *files.Proxy
@@ -43,8 +41,8 @@
 	token    string
 	standing []control.EndpointID
 	orders   *orders
-	admin    *admin
-	pushed   time.Time // when sums were last pushed
+	admin    *session.Listener // for people; nil without one
+	pushed   time.Time         // when sums were last pushed
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 	started  time.Time
@@ -153,7 +151,7 @@
 	}
 	if p.file.Admin != "" {
 		var err error
-		if p.admin, err = startAdmin(p, p.file.Admin); err != nil {
+		if p.admin, err = session.Listen(p.file.Admin, "vetchdoor proxy", p.commands()); err != nil {
 			cancel()
 			p.server.Stop(context.Background())
 			return err
@@ -186,7 +184,7 @@
 	p.cancel()
 	p.done.Wait()
 	if p.admin != nil {
-		p.admin.close()
+		p.admin.Close()
 	}
 	p.pool.Close()
 	p.log.Info("proxy ended", "ops", p.tally.ops.Load())
@@ -330,7 +328,7 @@
 	good := a.Status < 500
 	e.met(good, took, p.load(a.Get(http1.LoadHeader)), p.file.Service.OutlierAfter, p.file.Service.OutlierFor.Span())
 	if !good {
-		state.failedAt(e, begin, a.Status == 503 && len(a.Get(UnrunHeader)) > 0)
+		state.failedAt(e, begin, a.Status == 503 && len(a.Get(http1.UnrunHeader)) > 0)
 		if state.may(again) && time.Now().Before(deadline) {
 			return false
 		}
@@ -466,7 +464,7 @@
 	p.server.Stop(gone)
 	p.done.Wait()
 	if p.admin != nil {
-		p.admin.close()
+		p.admin.Close()
 	}
 }
 
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -22,6 +22,7 @@
 
 	"vetchdoor/control"
 	"vetchdoor/files"
+	"vetchdoor/http1"
 	"vetchdoor/runtime"
 )
 
@@ -415,7 +416,10 @@
 	if broke.Load()-b != failed || broke.Load()-b+good.Load()-g != 40 || failed == 0 {
 		t.Errorf("once-only: %d broke, %d good, %d answered so", broke.Load()-b, good.Load()-g, failed)
 	}
-	refuses := origin(t, func(w http.ResponseWriter, r *http.Request) { w.Header().Set(UnrunHeader, "1"); w.WriteHeader(503) })
+	refuses := origin(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(http1.UnrunHeader, "1")
+		w.WriteHeader(503)
+	})
 	q := start(t, func(f *files.Proxy) { f.Service.UsualAgain = "if-unrun" }, refuses, fine, "127.0.0.1:1")
 	for range 20 {
 		if r, _ := ask(t, q, "POST / HTTP/1.1\r\nHost: h\r\n\r\n"); r.StatusCode != 200 && r.StatusCode != 503 && r.StatusCode != 502 {
--- a/proxy/tenants.go
+++ b/proxy/tenants.go
@@ -56,7 +56,6 @@
 	mostTenants = 4096
 	mostDrawn   = 4096
 	mostSums    = 1024 // tenants at pods in one period; the rest is summed up as one
-	tryShare    = 0.2  // tries beyond the first, for each op of a tenant
 )
 
 func newTenants(f *files.Tenants) (*tenants, error) {
@@ -108,7 +107,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if !limited {
-		x.budget.Op(tryShare)
+		x.budget.Op(tenancy.TryBudget)
 		x.tokens, x.last = 1, now
 		return true
 	}
--- a/tenancy/warden.go
+++ b/tenancy/warden.go
@@ -18,13 +18,15 @@
 	forgiving = 5    // periods of good behaviour until a limit goes, or a fence; doubled with each fence
 	doublings = 6    // at most
 	smoothing = 0.5  // the newest sums' part in a running mean
-	tryBudget = 0.2  // tries beyond the first, for each op: what a proxy may spend on a tenant
 	leastTry  = 3    // tries a period that are always allowed
 	settling  = 4    // periods after a limit or a fence in which nobody else is judged: what it stopped is still in the queues
 	forgotten = 60   // periods without an op after which a tenant is no longer kept
 	mostKept  = 4096 // tenants kept one by one; the lightest beyond are folded into one
 )
 
+// TryBudget is how many tries beyond the first, for each op, a proxy may spend on a tenant that is not limited.
+const TryBudget = 0.2
+
 // Use is what proxies met of a tenant at a pod over a period. Busy is the time that servers held its ops.
 type Use struct {
 	Tenant      string
@@ -88,7 +90,7 @@
 	for _, u := range w.fold(uses) {
 		t := w.tenants[u.Tenant]
 		if t == nil {
-			t = &watched{name: u.Tenant, pods: map[PodID]*[2]float64{}, limit: Limit{Tenant: u.Tenant, Rate: -1, Tries: tryBudget}}
+			t = &watched{name: u.Tenant, pods: map[PodID]*[2]float64{}, limit: Limit{Tenant: u.Tenant, Rate: -1, Tries: TryBudget}}
 			w.tenants[u.Tenant] = t
 		}
 		t.add(u)
@@ -227,7 +229,7 @@
 	case t.limit.Rate < 0 && t.bad >= patience:
 		t.limit.Rate, t.limit.Tries, t.bad = max(1, leave*part*t.ops)/period.Seconds(), 0, 0
 	case t.limit.Rate >= 0 && t.good >= forgiving:
-		t.limit.Rate, t.limit.Tries, t.good = -1, tryBudget, 0
+		t.limit.Rate, t.limit.Tries, t.good = -1, TryBudget, 0
 	}
 }
 
--- a/tenancy/warden_test.go
+++ b/tenancy/warden_test.go
@@ -96,7 +96,7 @@
 		t.Errorf("let back after %d periods, then %d", first, second)
 	}
 	evening(w, 20, limits, fine, 0.5)
-	if l := limits["t7"]; l.Rate >= 0 || l.Tries != tryBudget {
+	if l := limits["t7"]; l.Rate >= 0 || l.Tries != TryBudget {
 		t.Errorf("never forgiven: %+v", l)
 	}
 	if n := evening(w, 50, limits, fine, 0.5); n != 0 {
@@ -131,7 +131,7 @@
 	var b Budget
 	spent := 0
 	for range 1000 {
-		if b.Op(tryBudget); b.Try() {
+		if b.Op(TryBudget); b.Try() {
 			spent++
 		}
 	}
@@ -139,7 +139,7 @@
 		t.Errorf("%d tries for 1000 ops", spent)
 	}
 	for range 1000 {
-		b.Op(tryBudget)
+		b.Op(TryBudget)
 	}
 	burst := 0
 	for b.Try() {
