Tenants move in the product: hold, wait out, open, from a store on disk

Need: a tenant's move was decided and checked but no program used it.

Change: tenancy has seats (a draw, a size, named pods) in place of fixed pods, a Mover with one order number for all tenants, moves abreast, moves that wait to be told, and a Binding by which a proxy alone keeps its writes from two seats. The pilot keeps records in its store beside the loop and sends orders only then, where the channel has nothing else; proxies keep bindings on disk and say in their hello what they have. Commands: show/set/move tenant, show/cancel/open move, forget proxy.

Tests over sockets: held up, cancelled, pilot killed in each phase, proxy forgotten, started anew, two pilots, torn stores.

--- a/files/contradictions.go
+++ b/files/contradictions.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"strconv"
 	"time"
+
+	"vetchdoor/tenancy"
 )
 
 // A contradiction is between values that are each allowed. Each check names the later of the two places.
@@ -122,6 +124,17 @@
 			}
 			return nil
 		},
+		func() *Fault {
+			if c := p.Channel.MessageCap; c > 0 && (p.Tenants || p.Moves != nil) {
+				return fault("/channel/message_cap", c, "0, for limits and bindings of tenants are messages of their own")
+			}
+			if m := p.Moves; m != nil && m.Most > 0 {
+				if write, window := tenancy.Needs(p.Service.Types(), p.Service.WriteLife.Span()); m.Most.Span() <= write+window {
+					return fault("/moves/most", m.Most, "more than %v, which each move waits out", write+window)
+				}
+			}
+			return nil
+		},
 	)
 }
 
--- a/files/files.go
+++ b/files/files.go
@@ -73,6 +73,7 @@
 	OutlierFor   Duration `json:"outlier_for,omitempty"`
 	Bootstrap    int      `json:"bootstrap"` // servers of a standing table, at most
 	UsualAgain   string   `json:"usual_again,omitempty"`
+	WriteLife    Duration `json:"write_life,omitempty"` // a write that a proxy took in is finished, for good or ill, within this; 0: twice its op timeout
 	CrossZone    float64  `json:"cross_zone_price,omitempty"`
 }
 
@@ -116,12 +117,20 @@
 	Seed      uint64   `json:"seed,omitempty"`
 	Probes    bool     `json:"probes,omitempty"`
 	Tenants   bool     `json:"tenants,omitempty"` // limit tenants that harm others, by what proxies met of them
+	Moves     *Moves   `json:"moves,omitempty"`   // tenants may be moved
 	Peers     []Peer   `json:"peers,omitempty"`   // the other pilots, where they may write to each other
 	Service   Service  `json:"service"`
 	Limits    Limits   `json:"limits"`
 	Channel   Channel  `json:"channel"`
 }
 
+// Moves are how tenants are moved between subsets.
+type Moves struct {
+	Store   string   `json:"store"`             // a file that outlives the pilot
+	Most    Duration `json:"most,omitempty"`    // longest that a tenant's writes are held; 0: ten times what must be waited out
+	Abreast int      `json:"abreast,omitempty"` // moves at a time; 0: 64
+}
+
 // Peer is another pilot: its place among the instances, and where it listens.
 type Peer struct {
 	Instance int    `json:"instance"`
@@ -156,7 +165,8 @@
 	PathPrefix string              `json:"path_prefix,omitempty"`
 	Networks   map[string][]string `json:"networks,omitempty"`
 	Known      []string            `json:"known,omitempty"`
-	Subset     int                 `json:"subset"` // pods for each; 0: all
+	Subset     int                 `json:"subset"`             // pods for each; 0: all
+	Bindings   string              `json:"bindings,omitempty"` // a file of the tenants that were moved, which outlives the proxy
 }
 
 // Proxy is the file of a proxy.
--- a/pilot/admin.go
+++ b/pilot/admin.go
@@ -27,7 +27,19 @@
 			return nil
 		}
 	}
-	return []sessions.Command{
+	inLoopOf := func(f func(io.Writer, []string) error) func(io.Writer, runtime.Command) error {
+		return func(w io.Writer, c runtime.Command) (err error) {
+			if other := inLoop(func(w io.Writer) { err = f(w, c.Words) })(w, c); other != nil {
+				return other
+			}
+			return err
+		}
+	}
+	var out []sessions.Command
+	for _, c := range p.tenantCommands(inLoopOf) {
+		out = append(out, sessions.Command{Words: c.words, Help: c.help, Do: c.do})
+	}
+	return append(out, []sessions.Command{
 		{Words: "show info", Help: "what this pilot is and has done", Do: inLoop(p.showInfo)},
 		{Words: "show info typed", Help: "the same in the typed form", Do: inLoop(func(w io.Writer) {
 			var b strings.Builder
@@ -38,7 +50,7 @@
 		{Words: "show servers state", Help: "the list of servers as this pilot has it", Do: inLoop(p.showServers)},
 		{Words: "show proxies", Help: "joined proxies, their tables, what they have not confirmed", Do: inLoop(p.showProxies)},
 		{Words: "show levels", Help: "how much of each op type is let in", Do: inLoop(p.showLevels)},
-	}
+	}...)
 }
 
 func (p *Pilot) showInfo(w io.Writer) {
@@ -55,6 +67,10 @@
 	fmt.Fprintf(w, "Batches: %d\nDeciding_ms: %d\nMessages: %d\nLines: %d\nLines_waiting: %d\nLines_waiting_peak: %d\n",
 		p.batches, p.deciding.Milliseconds(), p.messages, p.lines, p.channel.waiting, p.channel.peak)
 	fmt.Fprintf(w, "Resumed: %d\nRefused: %d\nOverflows: %d\nPanics: %d\n", p.resumed, p.refused, p.overflows, p.panics)
+	if m := p.mover; m != nil {
+		moving, waiting := m.Moving(p.now())
+		fmt.Fprintf(w, "Moves: %d\nMoves_waiting: %d\nMoved: %d\nMoves_cancelled: %d\nBindings_waiting: %d\n", len(moving), waiting, m.moved, m.undone, m.waiting())
+	}
 }
 
 func (p *Pilot) showStat(w io.Writer) {
--- a/pilot/book.go
+++ b/pilot/book.go
@@ -329,6 +329,13 @@
 	return messages
 }
 
+// alone is a message for one proxy of changes that concern no table.
+func (b *book) alone(id control.ProxyID, changes []runtime.Change) outgoing {
+	h := b.proxies[id]
+	h.changes = append(h.changes, changes...)
+	return b.finish(h, -1)
+}
+
 // addLimits writes a proxy all limits that stand.
 func (h *holder) addLimits(b *book) {
 	h.limited = true
--- /dev/null
+++ b/pilot/moves_test.go
@@ -0,0 +1,310 @@
+package pilot
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"vetchdoor/control"
+	"vetchdoor/files"
+	"vetchdoor/lab/link"
+	stand "vetchdoor/lab/roster"
+	"vetchdoor/proxy"
+	"vetchdoor/runtime"
+)
+
+// movesRig is a pilot that moves tenants, with proxies that keep their bindings.
+type movesRig struct {
+	*rig
+	dir  string
+	file *files.Pilot
+}
+
+func newMovesRig(t *testing.T, change func(*files.Pilot)) *movesRig {
+	r := &movesRig{rig: &rig{t: t, module: &script{}}, dir: t.TempDir()}
+	var err error
+	if r.list, err = stand.Start("127.0.0.1:0", entries()); err != nil {
+		t.Fatal(err)
+	}
+	r.file = pilotFile(r.list.Address())
+	r.file.Service = movesService()
+	r.file.Resume = files.Duration(20 * time.Millisecond)
+	r.file.Moves = &files.Moves{Store: filepath.Join(r.dir, "tenants.db"), Most: files.Duration(time.Minute)}
+	if change != nil {
+		change(r.file)
+	}
+	r.start(r.file)
+	r.file.Listen = r.p.Address()
+	r.tap = link.NewTap(time.Now())
+	t.Cleanup(func() { r.p.Stop(); r.list.Close() })
+	r.until("the list came", func() bool { return count[control.Listing](r.module) == 2 })
+	return r
+}
+
+func movesService() files.Service {
+	s := service()
+	s.OpTypes = append(s.OpTypes, files.OpType{Name: "w", Match: files.Match{Method: "POST"}, TargetLatency: files.Duration(20 * time.Millisecond),
+		OpTimeout: files.Duration(50 * time.Millisecond), Repeat: "deduplicated", Group: "zone", DedupWindow: files.Duration(100 * time.Millisecond), Writes: true})
+	s.OpTypes[0].Match.Method = "GET"
+	return s
+}
+
+func (r *movesRig) proxyFile(id uint16, pilots ...string) *files.Proxy {
+	f := &files.Proxy{Kind: "proxy", ID: id, Zone: "z", Listen: "127.0.0.1:0", Redial: files.Duration(10 * time.Millisecond), Service: movesService(),
+		Silent: files.Duration(20 * time.Second), Tenants: &files.Tenants{Header: "Newsroom", Subset: 1, Bindings: filepath.Join(r.dir, fmt.Sprint("bindings-", id))}}
+	for _, at := range pilots {
+		f.Pilots = append(f.Pilots, files.PilotAddress{Address: at, Zone: "z"})
+	}
+	return f
+}
+
+func (r *movesRig) run(f *files.Proxy, stall func(*runtime.Message) time.Duration) *proxy.Proxy {
+	r.t.Helper()
+	x, err := proxy.New(f, slog.New(slog.DiscardHandler))
+	if err == nil {
+		x.ApplyFor = stall
+		err = x.Start()
+	}
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return x
+}
+
+// two starts two proxies; the second one's messages stall while the function returned says so.
+func (r *movesRig) two() (x, y *proxy.Proxy, stall func(time.Duration)) {
+	var mu sync.Mutex
+	d := time.Duration(0)
+	x = r.run(r.proxyFile(1, r.p.Address()), nil)
+	y = r.run(r.proxyFile(2, r.p.Address()), func(*runtime.Message) time.Duration { mu.Lock(); defer mu.Unlock(); return d })
+	r.t.Cleanup(func() { x.Kill(); y.Kill() })
+	r.until("joined", func() bool { return count[control.Joined](r.module) == 2 })
+	return x, y, func(to time.Duration) { mu.Lock(); d = to; mu.Unlock() }
+}
+
+func (r *movesRig) says(cmd, want string) func() bool {
+	return func() bool { return strings.Contains(r.ask(cmd), want) }
+}
+
+// seat is how a proxy has a tenant.
+func seat(p *proxy.Proxy, name string) string {
+	for line := range strings.Lines(p.Tenants(name)) {
+		if strings.HasPrefix(line, "="+name+",") {
+			return strings.TrimSpace(line)
+		}
+	}
+	return ""
+}
+
+func (r *movesRig) seated(want string, ps ...*proxy.Proxy) {
+	r.t.Helper()
+	for _, p := range ps {
+		r.until(want, func() bool { s := seat(p, "delo"); return strings.Contains(s, want) && strings.HasSuffix(s, ",open,") })
+	}
+}
+
+// post asks a proxy for a write of the tenant and returns the status.
+func post(t *testing.T, p *proxy.Proxy) (int, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nNewsroom: delo\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n")
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := io.ReadAll(a.Body)
+	return a.StatusCode, a.Header.Get("Retry-After") + " " + string(text)
+}
+
+// A tenant moves, back home too; a proxy that joins anew is told, one that starts anew knows from its disk.
+func TestMove(t *testing.T) {
+	r := newMovesRig(t, nil)
+	x, y, _ := r.two()
+	if got := r.ask("move tenant delo"); strings.TrimSpace(got) != "" {
+		t.Fatal(got)
+	}
+	r.seated("draw 1 size 0 pods *", x, y)
+	r.until("ended", r.says("show move", "Moved: 1\n"))
+	r.ask("set tenant =delo subset size 3 pods 0.0")
+	r.seated("draw 1 size 3 pods 0.0", x, y)
+	y.Kill()
+	f := r.proxyFile(2, "127.0.0.1:1") // no pilot is there
+	alone := r.run(f, nil)
+	if s := seat(alone, "delo"); !strings.Contains(s, "draw 1 size 3 pods 0.0") || !strings.HasSuffix(s, ",open,") {
+		t.Errorf("a proxy that starts anew alone has %q", s)
+	}
+	alone.Kill()
+	f = r.proxyFile(2, r.p.Address())
+	f.Tenants.Bindings = filepath.Join(r.dir, "new")
+	y2 := r.run(f, nil)
+	defer y2.Kill()
+	r.seated("draw 1 size 3 pods 0.0", y2)
+	r.ask("set tenant delo subset home")
+	r.until("home", r.says("show move", "Moved: 3\n"))
+	r.until("forgotten by the proxies", func() bool { return strings.Contains(x.Info()+y2.Info(), "\nBindings: 0\n") && !strings.Contains(x.Info()+y2.Info(), "\nBindings: 1\n") })
+}
+
+// Commands that ask for what cannot be are answered with why, and change nothing.
+func TestMoveCommands(t *testing.T) {
+	r := newMovesRig(t, nil)
+	for cmd, want := range map[string]string{
+		"move tenant": "name", "set tenant delo": "subset", "set tenant delo subset": "subset", "set tenant delo subset pods 9.9": "no server on the list",
+		"set tenant delo subset pods x": "no list of pods", "set tenant delo subset home": "there already", "cancel move delo": "does not move",
+		"open move delo": "no move that is ready", "forget proxy 9": "not known", "forget proxy x": "no proxy", "cancel move": "name",
+		"move tenant delo size -1": "no whole number", "move tenant delo nowhere": "none of draw", "move tenant " + strings.Repeat("x", 300): "no tenant's name",
+		"move tenant delo size 2000": "no whole number", "set tenant delo subset pods 0.0,": "no list of pods",
+	} {
+		if got := r.ask(cmd); !strings.Contains(got, want) || strings.Count(got, "\n") != 2 {
+			t.Errorf("%s: %q", cmd, got)
+		}
+	}
+	if got := r.ask("show tenant"); strings.Count(got, "\n") != 2 {
+		t.Error(got)
+	}
+}
+
+// A proxy that does not confirm holds the move up, which names it; the tenant's writes are refused meanwhile, with a time
+// to come back, its reads are not; a cancel opens it where it was, and a second move asked for meanwhile begins then.
+func TestMoveHeldUp(t *testing.T) {
+	r := newMovesRig(t, nil)
+	x, y, stall := r.two()
+	stall(time.Hour)
+	r.ask("move tenant delo")
+	held := func() bool { return strings.HasSuffix(seat(x, "delo"), ",held,") }
+	r.until("held", held)
+	r.until("names it", r.says("show move", "=delo,holding,draw 0 size 0 pods *,draw 1 size 0 pods *,"))
+	r.until("awaits it alone", func() bool { return strings.Contains(r.ask("show move"), ",2,,\n") })
+	if status, text := post(t, x); status != 503 || !strings.HasPrefix(text, "1 the tenant is being moved") {
+		t.Errorf("%d %s", status, text)
+	}
+	r.ask("move tenant delo draw 7") // meanwhile
+	r.until("waits", r.says("show move", "Waiting: 1\n"))
+	r.ask("cancel move delo")
+	r.until("cancelled", r.says("show move", "Cancelled: 1\n"))
+	r.until("begins", r.says("show move", "pods *,draw 7 size 0 pods *,"))
+	stall(0)
+	y.Kill() // it comes back with what it kept
+	again := r.run(r.proxyFile(2, r.p.Address()), nil)
+	defer again.Kill()
+	r.seated("draw 7 size 0 pods *", x, again)
+}
+
+// A pilot that dies in any phase comes back with its store and ends the move; a proxy that is gone for good is forgotten.
+func TestMovePilotDies(t *testing.T) {
+	for _, phase := range []string{"holding", "ready"} {
+		t.Run(phase, func(t *testing.T) {
+			r := newMovesRig(t, nil)
+			x, y, stall := r.two()
+			if phase == "holding" {
+				stall(time.Hour)
+			}
+			r.ask("move tenant delo wait")
+			r.until(phase, r.says("show move", "=delo,"+phase+","))
+			r.p.Kill()
+			if phase == "holding" {
+				y.Kill()
+			}
+			if !strings.HasSuffix(seat(x, "delo"), ",held,") && phase == "ready" {
+				t.Error("open though its pilot died")
+			}
+			r.start(r.file)
+			r.until("goes on", r.says("show move", "=delo,"))
+			if phase == "holding" {
+				r.until("awaits the dead one", func() bool { return strings.Contains(r.ask("show move"), ",2,2,\n") })
+				if got := r.ask("forget proxy 2"); strings.TrimSpace(got) != "" {
+					t.Error(got)
+				}
+			}
+			r.until("ready", r.says("show move", "=delo,ready,"))
+			if got := r.ask("open move delo"); strings.TrimSpace(got) != "" {
+				t.Error(got)
+			}
+			r.seated("draw 1 size 0 pods *", x)
+		})
+	}
+}
+
+// A move that takes longer than a tenant may be held is cancelled by itself.
+func TestMoveTakesTooLong(t *testing.T) {
+	r := newMovesRig(t, func(f *files.Pilot) { f.Moves.Most = files.Duration(300 * time.Millisecond) })
+	x, _, stall := r.two()
+	stall(time.Hour)
+	r.ask("move tenant delo")
+	r.until("cancelled", r.says("show move", "Cancelled: 1\n"))
+	r.until("open where it was", func() bool { s := seat(x, "delo"); return !strings.HasSuffix(s, ",held,") })
+}
+
+// A proxy that goes to a pilot with another view of a tenant takes that view, and lets writes go there only after a wait of
+// its own.
+func TestMoveTwoPilots(t *testing.T) {
+	r := newMovesRig(t, nil)
+	other := *r.file
+	other.Name, other.Listen, other.Moves = "q", "127.0.0.1:0", &files.Moves{Store: filepath.Join(r.dir, "other.db")}
+	q, err := New(&other, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.newDecider = func() decider { return &script{} }
+	if err := q.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer q.Stop()
+	f := r.proxyFile(1, r.p.Address(), q.Address())
+	f.Pilots[1].Zone = "far"
+	x := r.run(f, nil)
+	defer x.Kill()
+	r.until("joined", func() bool { return count[control.Joined](r.module) == 1 })
+	r.ask("move tenant delo")
+	r.seated("draw 1 size 0 pods *", x)
+	r.p.Kill()
+	r.until("goes home, after a wait", func() bool { return strings.Contains(x.Info(), "\nPilot: q\n") && strings.Contains(x.Info(), "\nBindings: 0\n") })
+	r.start(r.file)
+}
+
+// A store that cannot be read keeps a pilot from starting; one that another pilot has open too.
+func TestMoveStoreRefused(t *testing.T) {
+	r := newMovesRig(t, nil)
+	f := *r.file
+	f.Listen = "127.0.0.1:0"
+	p, err := New(&f, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err == nil || !strings.Contains(err.Error(), "another process has it open") {
+		t.Error(err)
+	}
+	f.Moves = &files.Moves{Store: filepath.Join(r.dir, "torn")}
+	if err := os.WriteFile(f.Moves.Store, []byte("half"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if p, err = New(&f, slog.New(slog.DiscardHandler)); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err == nil || !strings.Contains(err.Error(), "not a store of tenants") {
+		t.Error(err)
+	}
+	if _, err := proxy.New(r.proxyFile(3), slog.New(slog.DiscardHandler)); err != nil {
+		t.Error(err)
+	}
+	b := filepath.Join(r.dir, "bindings-4")
+	if err := os.WriteFile(b, []byte("half\n{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := proxy.New(r.proxyFile(4), slog.New(slog.DiscardHandler)); err == nil || !strings.Contains(err.Error(), "bindings-4:1:") {
+		t.Error(err)
+	}
+}
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -60,6 +60,7 @@
 	intake       *intake
 	warden       *tenancy.Warden // nil: tenants are not limited
 	uses         []tenancy.Use
+	mover        *mover // nil: tenants are not moved
 	events       []control.Event
 	batch        *time.Timer // set while events wait for their tick
 	pace         *time.Timer // set while a message waits for its time
@@ -123,16 +124,22 @@
 		p.version = version
 		p.saver = newSaver(p.file.Cache, p.log)
 	}
+	if err := p.openMoves(); err != nil {
+		cancel()
+		return err
+	}
 	p.fresh()
 	var err error
 	if p.ln, err = stream.Listen(p.file.Listen, p.accept); err != nil {
 		cancel()
+		p.closeFiles()
 		return err
 	}
 	if p.file.Admin != "" {
 		if p.admin, err = sessions.Listen(p.file.Admin, "vetchdoor pilot", p.commands()); err != nil {
 			cancel()
 			p.ln.Close()
+			p.closeFiles()
 			return err
 		}
 	}
@@ -190,9 +197,16 @@
 	}
 	p.done.Wait()
 	p.probes.Close()
+	p.closeFiles()
+}
+
+func (p *Pilot) closeFiles() {
 	if p.saver != nil {
 		p.saver.close()
 	}
+	if p.mover != nil {
+		p.mover.close()
+	}
 }
 
 // post has the loop run f; false if the pilot has ended.
@@ -218,10 +232,16 @@
 	defer watch.Stop()
 	p.batch, p.pace = time.NewTimer(time.Hour), time.NewTimer(time.Hour)
 	p.decide()
+	var moves <-chan time.Time
+	if p.mover != nil {
+		moves = p.mover.wake.C
+	}
 	for {
 		select {
 		case <-p.stop:
 			return
+		case <-moves:
+			p.move()
 		case f := <-p.inbox:
 			f()
 		case <-p.batch.C:
@@ -315,6 +335,9 @@
 func (p *Pilot) restart() {
 	p.panics++
 	p.run++
+	for id := range p.sessions {
+		p.away(id)
+	}
 	for w := range p.wires {
 		w.conn.Close()
 		delete(p.wires, w)
@@ -347,6 +370,9 @@
 			s := p.sessions[id]
 			return s != nil && s.conn != nil && (s.unconfirmed == 0 || s.unconfirmed+lines <= s.window)
 		})
+		if !ok && wait < 0 && p.sendBindings() {
+			continue
+		}
 		if !ok {
 			if wait >= 0 {
 				p.pace.Reset(max(wait, 100*time.Microsecond))
--- a/pilot/streams.go
+++ b/pilot/streams.go
@@ -9,6 +9,7 @@
 	"vetchdoor/files"
 	"vetchdoor/runtime"
 	"vetchdoor/stream"
+	"vetchdoor/tenancy"
 )
 
 // session is one proxy's standing with this run of the pilot. It outlives a break of its stream by a while, so that a
@@ -22,7 +23,8 @@
 	conn        *wire // nil while away
 	awayFor     int   // counts breaks, so that an old timer knows itself for one
 	sent        []outgoing
-	unconfirmed int // lines of sent
+	unconfirmed int             // lines of sent
+	bindings    []tenancy.Order // of tenants, to be sent
 }
 
 // wire is one connection of a proxy, before and after its hello.
@@ -157,6 +159,13 @@
 	}
 	s.conn = w
 	s.awayFor++
+	if !resume {
+		has := uint64(0)
+		if h.Bound == p.file.Name {
+			has = h.BoundTo
+		}
+		p.move(tenancy.Event{Joined: &tenancy.Joined{Proxy: tenancy.ProxyID(h.Proxy), Has: has}})
+	}
 	_ = w.conn.Send(runtime.Welcome{Pilot: p.file.Name, Run: p.run, Resumed: resume}.Append(nil))
 	p.log.Info("proxy joined", "proxy", s.id, "zone", s.zone, "resumed", resume)
 	p.pump()
@@ -181,6 +190,7 @@
 func (p *Pilot) confirm(s *session, m outgoing) {
 	s.sent = s.sent[1:]
 	s.unconfirmed -= m.Lines
+	p.placed(s, m)
 	if m.Checkpoint >= 0 {
 		p.event(control.InForce{Proxy: s.id, Checkpoint: m.Checkpoint, Took: p.now() - m.At})
 	}
@@ -230,9 +240,17 @@
 	p.channel.drop(s.id)
 	p.numbers[s.id] = p.book.leave(s.id)
 	p.intake.forget(s.id)
+	p.away(s.id)
 	p.event(control.Left{Proxy: s.id})
 }
 
+// away tells the mover that a proxy cannot be told anything now.
+func (p *Pilot) away(id control.ProxyID) {
+	if p.mover != nil {
+		p.mover.Left(tenancy.ProxyID(id))
+	}
+}
+
 // watch closes streams that say nothing and pings the others.
 func (p *Pilot) watch() {
 	for w := range p.wires {
--- a/proxy/admin.go
+++ b/proxy/admin.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -15,6 +16,7 @@
 // commands are those of the socket for people.
 func (p *Proxy) commands() []session.Command {
 	return []session.Command{
+		{Words: "show tenant", Help: "[NAME]: tenants with a limit or a binding, as this proxy has them", Do: p.showTenant},
 		{Words: "show info", Help: "what this proxy is and has done", Do: p.showInfo},
 		{Words: "show info typed", Help: "the same in the typed form", Do: func(w io.Writer, _ runtime.Command) error {
 			session.Typed(w, p.Info())
@@ -42,6 +44,13 @@
 	return b.String()
 }
 
+// Tenants is what show tenant prints of one.
+func (p *Proxy) Tenants(name string) string {
+	var b strings.Builder
+	_ = p.showTenant(&b, runtime.Command{Words: []string{"show", "tenant", "=" + name}})
+	return b.String()
+}
+
 func (p *Proxy) showInfo(w io.Writer, c runtime.Command) error {
 	t := p.now.Load()
 	fmt.Fprintf(w, "Name: vetchdoor\nRole: proxy\nProxy: %d\nZone: %s\nUptime_sec: %d\n", p.file.ID, p.file.Zone,
@@ -50,6 +59,34 @@
 	fmt.Fprintf(w, "Ops: %d\nAcked: %d\nRejected: %d\nAborted: %d\nRetried: %d\nConnections: %d\nApplied: %d\nApplied_again: %d\n", p.tally.ops.Load(),
 		p.tally.acked.Load(), p.tally.rejected.Load(), p.tally.aborted.Load(), p.tally.retried.Load(), p.pool.Open(),
 		p.tally.applied.Load(), p.tally.again.Load())
+	fmt.Fprintf(w, "Held: %d\nBindings: %d\nBindings_behind: %t\n", p.tally.held.Load(), len(t.bindings.of), p.keeper.behind())
+	return nil
+}
+
+func (p *Proxy) showTenant(w io.Writer, c runtime.Command) error {
+	t, now := p.now.Load(), time.Since(p.started)
+	names := map[string]bool{}
+	for name := range t.limits {
+		names[name] = true
+	}
+	for name := range t.bindings.of {
+		names[name] = true
+	}
+	if len(c.Words) > 2 {
+		names = map[string]bool{runtime.TenantName(c.Words[2]): true}
+	}
+	fmt.Fprintln(w, "# tenant,rate,fenced,seat,number,writes,")
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		l, limited := t.limits[name]
+		if !limited {
+			l.rate = -1
+		}
+		b, writes := t.bindings.of[name], "open"
+		if _, bound := t.bindings.of[name]; bound && !b.Writes(now, t.bindings.wait) {
+			writes = "held"
+		}
+		fmt.Fprintf(w, "%s,%g,%t,%s,%d,%s,\n", runtime.Quote("="+name), l.rate, l.fenced, b.Seat, b.Number, writes)
+	}
 	return nil
 }
 
--- a/proxy/orders.go
+++ b/proxy/orders.go
@@ -97,7 +97,7 @@
 	p.mu.Lock()
 	t := p.now.Load()
 	h := runtime.Hello{Proxy: control.ProxyID(p.file.ID), Token: p.token, Zone: p.zone, Rate: p.file.Rate, Pilot: t.pilot, Run: t.run,
-		Number: t.number, Window: window, Standing: p.standing}
+		Number: t.number, Window: window, Standing: p.standing, Bound: t.bindings.pilot, BoundTo: t.bindings.upTo}
 	p.mu.Unlock()
 	if h.Pilot == "" {
 		h.Pilot = "-"
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"vetchdoor/runtime"
 	"vetchdoor/serve"
 	"vetchdoor/session"
+	"vetchdoor/tenancy"
 	"vetchdoor/upstream"
 )
 
@@ -48,13 +49,14 @@
 	started  time.Time
 	tally    tally
 	tenants  *tenants // nil: ops are nobody's
+	keeper   *keeper  // of bindings; nil: they are not kept
 
 	// ApplyFor, if not nil, is how long a message stalls the proxy before it applies; a rehearsal's way of a slow one.
 	ApplyFor func(m *runtime.Message) time.Duration
 }
 
 // tally counts since the start, for people.
-type tally struct{ ops, acked, rejected, aborted, retried, applied, again atomic.Int64 }
+type tally struct{ ops, acked, rejected, aborted, retried, held, applied, again atomic.Int64 }
 
 // opType is what the proxy keeps for one op type.
 type opType struct {
@@ -103,6 +105,10 @@
 		if p.tenants, err = newTenants(file.Tenants); err != nil {
 			return nil, err
 		}
+		write, window := tenancy.Needs(types, file.Service.WriteLife.Span())
+		if p.now.Load().bindings, p.keeper, err = openBindings(file.Tenants.Bindings, write+window, 0, p.log); err != nil {
+			return nil, err
+		}
 	}
 	p.server = &serve.Server{Handle: p.handle, Open: func(c *serve.Conn) bool { c.Data = &scratch{}; return true }}
 	return p, nil
@@ -159,6 +165,7 @@
 	}
 	p.pushed = time.Now()
 	p.orders = newOrders(p)
+	p.keeper.start()
 	p.done.Add(2)
 	go func() { defer p.done.Done(); p.orders.run(ctx) }()
 	go func() { defer p.done.Done(); p.pushSums(ctx) }()
@@ -187,6 +194,7 @@
 		p.admin.Close()
 	}
 	p.pool.Close()
+	p.keeper.close()
 	p.log.Info("proxy ended", "ops", p.tally.ops.Load())
 }
 
@@ -251,6 +259,12 @@
 		p.answer(c, s, 503, "over the tenant's limit", p.retryAfter())
 		return
 	}
+	if whose != nil && now.bindings.holds(whose.name, &t.OpType, arrived.Sub(p.started)) {
+		p.tally.rejected.Add(1)
+		p.tally.held.Add(1)
+		p.answer(c, s, 503, "the tenant is being moved", p.retryAfter())
+		return
+	}
 	deadline := arrived.Add(t.OpTimeout)
 	s.out = p.request(s.out[:0], m)
 	head := string(m.Method) == "HEAD"
@@ -262,7 +276,7 @@
 	var last *upstream.Failure
 	for {
 		begin := time.Now()
-		subset := p.tenants.subset(whose, now.byType[i], allowed.fenced)
+		subset := p.tenants.subset(whose, now.byType[i], now.bindings, allowed.fenced)
 		e := now.pickFor(i, begin, func(e *server) bool {
 			return (subset == nil || slices.Contains(subset, e.pod())) && (!t.OwnZoneOnly || e.Zone == p.zone) && !slices.Contains(tried, e) && state.at(e.Server, begin)
 		})
@@ -308,6 +322,9 @@
 		p.tally.retried.Add(1)
 		now = p.now.Load() // withdrawals since the first try bind this one
 		l = now.level(i, p.file.Service.Again())
+		if whose != nil && now.bindings.holds(whose.name, &t.OpType, time.Since(p.started)) {
+			break // its tenant is being moved since
+		}
 	}
 	t.unacked.Add(1)
 	p.tally.aborted.Add(1)
@@ -409,6 +426,7 @@
 func (p *Proxy) sendSums(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sweepBindings()
 	if !p.orders.joined() {
 		return
 	}
@@ -427,6 +445,18 @@
 	p.orders.send(s.Append(nil))
 }
 
+// sweepBindings forgets tenants that are home again.
+func (p *Proxy) sweepBindings() {
+	t := *p.now.Load()
+	b, gone := t.bindings.sweep(time.Since(p.started))
+	if len(gone) == 0 {
+		return
+	}
+	t.bindings = b
+	p.now.Store(&t)
+	p.keeper.keep(b, gone)
+}
+
 // apply brings a message into force, whole.
 func (p *Proxy) apply(m *runtime.Message) error {
 	p.mu.Lock()
@@ -435,6 +465,11 @@
 	if err != nil {
 		return err
 	}
+	before := n.bindings
+	var changed map[string]tenancy.Binding
+	if n.bindings, changed = before.take(m, time.Since(p.started)); n.bindings != before {
+		p.keeper.keep(n.bindings, changed)
+	}
 	p.now.Store(n)
 	p.tally.applied.Add(1)
 	if slices.ContainsFunc(m.Changes, func(c runtime.Change) bool { return c.Verb != runtime.SetWeight && c.Verb != runtime.SetState }) {
@@ -466,6 +501,7 @@
 	if p.admin != nil {
 		p.admin.Close()
 	}
+	p.keeper.close()
 }
 
 // Connections is how many it has open to servers.
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -542,7 +542,7 @@
 		t.Fatal(err)
 	}
 	who := &tenant{"delo", &account{}}
-	subset := x.subset(who, tab.byType[0], false)
+	subset := x.subset(who, tab.byType[0], tab.bindings, false)
 	if len(subset) != 2 {
 		t.Fatalf("%v", subset)
 	}
@@ -558,14 +558,14 @@
 		out = append(out, fmt.Sprintf("set server */e%d state drain", id))
 	}
 	sick, err := tab.apply(message(2, out...), s, 1, rng())
-	if err != nil || !slices.Equal(x.subset(who, sick.byType[0], false), subset) {
+	if err != nil || !slices.Equal(x.subset(who, sick.byType[0], sick.bindings, false), subset) {
 		t.Errorf("a tenant whose servers are withdrawn was handed others: %v", err)
 	}
-	if (*tenants)(nil).subset(who, tab.byType[0], false) != nil || (*tenants)(nil).of(nil, nil) != nil || !(*tenant)(nil).try() {
+	if (*tenants)(nil).subset(who, tab.byType[0], tab.bindings, false) != nil || (*tenants)(nil).of(nil, nil) != nil || !(*tenant)(nil).try() {
 		t.Error("without tenants nothing is bound")
 	}
 	limited, err := tab.apply(message(2, "set tenant =delo rate 2 tries 0 fence on"), s, 1, rng())
-	if err != nil || len(limited.limits) != 1 || len(x.subset(who, limited.byType[0], true)) != 1 {
+	if err != nil || len(limited.limits) != 1 || len(x.subset(who, limited.byType[0], limited.bindings, true)) != 1 {
 		t.Fatal(err)
 	}
 	begin, in := time.Now(), 0
--- a/proxy/tables.go
+++ b/proxy/tables.go
@@ -61,6 +61,7 @@
 	out      map[control.EndpointID]bool
 	levels   map[int]level    // for all tables
 	limits   map[string]limit // of tenants, by the pilot
+	bindings *bindings
 }
 
 // bench of servers, by id; one record each, kept while any table names it.
@@ -120,7 +121,7 @@
 // newTables are those of a proxy that has just started.
 func newTables(types int, standing []line, rng *rand.Rand) *tables {
 	t := &tables{named: map[control.TableID]*table{}, out: map[control.EndpointID]bool{}, levels: map[int]level{},
-		byType: make([]*table, types)}
+		byType: make([]*table, types), bindings: &bindings{}}
 	t.standing = newTable("standing", standing, nil, types, rng)
 	for i := range t.byType {
 		t.byType[i] = t.standing
@@ -151,7 +152,8 @@
 
 // apply returns the tables after a message. Nothing of it takes effect where one change cannot be: the error says which.
 func (t *tables) apply(m *runtime.Message, s *servers, types int, rng *rand.Rand) (*tables, error) {
-	n := &tables{pilot: m.Pilot, run: m.Run, number: m.Number, standing: t.standing, byType: slices.Clone(t.byType)}
+	n := &tables{pilot: m.Pilot, run: m.Run, number: m.Number, standing: t.standing, byType: slices.Clone(t.byType),
+		bindings: t.bindings}
 	if t.pilot == m.Pilot && t.run == m.Run {
 		n.named = maps.Clone(t.named)
 	} else { // tables of another run keep their users, not their names
--- a/proxy/tenants.go
+++ b/proxy/tenants.go
@@ -141,20 +141,30 @@
 type drawn struct {
 	mu   sync.Mutex
 	pods []tenancy.Pod
-	of   map[string][]tenancy.PodID
+	of   map[string]drawnAt
+}
+
+// drawnAt is a tenant's subset for a seat.
+type drawnAt struct {
+	seat tenancy.Seat
+	pods []tenancy.PodID
 }
 
 // subset returns the pods that a tenant may use of a table; nil for all. It is drawn from the pods with a line, withdrawn
 // or not: a tenant that makes its servers sick must not be handed others.
-func (t *tenants) subset(x *tenant, table *table, fenced bool) []tenancy.PodID {
-	if t == nil || t.count == 0 || len(table.lines) == 0 {
+func (t *tenants) subset(x *tenant, table *table, b *bindings, fenced bool) []tenancy.PodID {
+	if t == nil || len(table.lines) == 0 {
+		return nil
+	}
+	seat := b.of[x.name].Seat
+	if t.count == 0 && seat.Size == 0 && len(seat.Pods) == 0 {
 		return nil
 	}
 	d := table.drawn
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.of == nil {
-		d.of = map[string][]tenancy.PodID{}
+		d.of = map[string]drawnAt{}
 		for _, l := range table.lines {
 			p := tenancy.Pod{ID: l.server.pod(), Zone: l.server.Zone, Power: 1}
 			if !slices.Contains(d.pods, p) {
@@ -163,16 +173,16 @@
 		}
 	}
 	s, ok := d.of[x.name]
-	if !ok {
-		s = tenancy.Place(x.name, d.pods, t.count)
-		if len(d.of) < mostDrawn {
+	if !ok || !s.seat.Equal(seat) {
+		s = drawnAt{seat, seat.Among(x.name, d.pods, t.count)}
+		if ok || len(d.of) < mostDrawn {
 			d.of[x.name] = s
 		}
 	}
-	if fenced && len(s) > 1 {
-		return s[:1]
+	if fenced && len(s.pods) > 1 {
+		return s.pods[:1]
 	}
-	return s
+	return s.pods
 }
 
 // met sums up a try of a tenant at a server.
--- a/runtime/block.go
+++ b/runtime/block.go
@@ -57,6 +57,8 @@
 	Number   uint64               // the last message applied, of that run
 	Window   int                  // lines that may be on their way to it, not confirmed
 	Standing []control.EndpointID // its standing table
+	Bound    string               // the pilot whose bindings of tenants it has; empty: none's
+	BoundTo  uint64               // it has all of them up to this number
 }
 
 // Append appends the block.
@@ -72,6 +74,9 @@
 	if len(h.Standing) == 0 {
 		b = append(b, '-')
 	}
+	if h.Bound != "" {
+		b = strconv.AppendUint(append(append(append(b, " bound "...), Quote(h.Bound)...), ' '), h.BoundTo, 10)
+	}
 	return append(b, "\n\n"...)
 }
 
@@ -266,6 +271,10 @@
 			h.Standing = append(h.Standing, control.EndpointID(n))
 		}
 	}
+	if len(w.words) > 0 {
+		w.expect("bound")
+		h.Bound, h.BoundTo = w.take(), w.uint("number", math.MaxUint64)
+	}
 	return h
 }
 
--- a/runtime/change.go
+++ b/runtime/change.go
@@ -10,21 +10,24 @@
 	"time"
 
 	"vetchdoor/control"
+	"vetchdoor/tenancy"
 )
 
 // Verb is what a change does.
 type Verb byte
 
 const (
-	AddServer  Verb = iota + 1 // a line of a table, with all that is needed to send there
-	SetWeight                  // the weight of a line that is there
-	DelServer                  // a line goes
-	SetState                   // a server out of all tables, or back in; Out
-	ClearState                 // all servers back in
-	SetMap                     // op types to a table
-	ClearTable                 // all lines and levels of a table go
-	SetLevel                   // how much of op types is let in, and how tries are repeated
-	SetTenant                  // what a tenant may use: Rate, Tries, Fenced
+	AddServer     Verb = iota + 1 // a line of a table, with all that is needed to send there
+	SetWeight                     // the weight of a line that is there
+	DelServer                     // a line goes
+	SetState                      // a server out of all tables, or back in; Out
+	ClearState                    // all servers back in
+	SetMap                        // op types to a table
+	ClearTable                    // all lines and levels of a table go
+	SetLevel                      // how much of op types is let in, and how tries are repeated
+	SetTenant                     // what a tenant may use: Rate, Tries, Fenced
+	SetBinding                    // where a tenant is: Number, Seat, Held
+	ClearBindings                 // bindings of other pilots, and those up to Number, go
 )
 
 // Change is one line of a pilot's message.
@@ -42,6 +45,9 @@
 	Rate     float64 // ops a second at this proxy; below 0: no limit
 	Tries    float64 // beyond the first, for each op
 	Fenced   bool    // to one pod of its subset alone
+	Number   uint64  // of a binding, among those of its pilot
+	Seat     tenancy.Seat
+	Held     bool // writes are refused with a time to come back
 }
 
 // Server is what a proxy must know of an endpoint to send ops there and to try them again safely.
@@ -95,6 +101,15 @@
 		if b = append(b, " fence off"...); c.Fenced {
 			b = append(b[:len(b)-len("off")], "on"...)
 		}
+	case SetBinding:
+		b = append(append(b, "set binding "...), Quote("="+c.Tenant)...)
+		b = strconv.AppendUint(append(b, " number "...), c.Number, 10)
+		b = append(append(b, ' '), c.Seat.String()...)
+		if b = append(b, " hold off"...); c.Held {
+			b = append(b[:len(b)-len("off")], "on"...)
+		}
+	case ClearBindings:
+		b = strconv.AppendUint(append(b, "clear bindings up-to "...), c.Number, 10)
 	}
 	return b
 }
@@ -187,14 +202,17 @@
 		if c.Tries = w.float("tries"); c.Tries < 0 {
 			w.fail("tries %v are below 0", c.Tries)
 		}
-		w.expect("fence")
-		switch on := w.take(); on {
-		case "on":
-			c.Fenced = true
-		case "off":
-		default:
-			w.fail("fence %q is neither on nor off", on)
-		}
+		c.Fenced = w.onOff("fence")
+	case "set binding":
+		c.Verb, c.Tenant = SetBinding, w.tenant()
+		w.expect("number")
+		c.Number = w.uint("number", math.MaxUint64)
+		c.Seat = w.seat()
+		c.Held = w.onOff("hold")
+	case "clear bindings":
+		c.Verb = ClearBindings
+		w.expect("up-to")
+		c.Number = w.uint("number", math.MaxUint64)
 	default:
 		return c, ErrNoChange
 	}
@@ -204,6 +222,76 @@
 	return c, w.err
 }
 
+// TenantName reads a tenant's name as people write it: with or without the sign that names on the wire begin with.
+func TenantName(word string) string { return strings.TrimPrefix(word, "=") }
+
+// ParseSeat reads where a tenant is to be: any of draw N, size N and pods ZONE.PACK,…, in place of those of its seat.
+func ParseSeat(words []string, seat tenancy.Seat) (tenancy.Seat, error) {
+	w := &wordReader{words: words}
+	if len(words) == 0 {
+		w.fail("nothing is said of the seat: draw N, size N, pods ZONE.PACK,… or home")
+	}
+	for len(w.words) > 0 && w.err == nil {
+		switch kind := w.take(); kind {
+		case "home":
+			seat = tenancy.Seat{}
+		case "draw":
+			seat.Draw = uint32(w.uint("draw", math.MaxUint32))
+		case "size":
+			seat.Size = int(w.uint("size", mostPods))
+		case "pods":
+			seat.Pods = w.pods()
+		default:
+			w.fail("%q is none of draw, size, pods, home", kind)
+		}
+	}
+	return seat, w.err
+}
+
+// mostPods bounds a subset.
+const mostPods = 1000
+
+func (w *wordReader) seat() (s tenancy.Seat) {
+	w.expect("draw")
+	s.Draw = uint32(w.uint("draw", math.MaxUint32))
+	w.expect("size")
+	s.Size = int(w.uint("size", mostPods))
+	w.expect("pods")
+	s.Pods = w.pods()
+	return s
+}
+
+// pods reads ZONE.PACK,…; * for none.
+func (w *wordReader) pods() (out []tenancy.PodID) {
+	list := w.take()
+	if list == "*" {
+		return nil
+	}
+	for part := range strings.SplitSeq(list, ",") {
+		zone, pack, ok := strings.Cut(part, ".")
+		z, err := strconv.ParseUint(zone, 10, 8)
+		p, err2 := strconv.ParseUint(pack, 10, 16)
+		if !ok || err != nil || err2 != nil || len(out) >= mostPods {
+			w.fail("%.60q is no list of pods, ZONE.PACK,…", list)
+			return nil
+		}
+		out = append(out, tenancy.PodID(z<<16|p))
+	}
+	return out
+}
+
+func (w *wordReader) onOff(what string) bool {
+	w.expect(what)
+	switch on := w.take(); on {
+	case "on":
+		return true
+	case "off":
+	default:
+		w.fail("%s %q is neither on nor off", what, on)
+	}
+	return false
+}
+
 // wordReader takes words one by one and keeps the first error.
 type wordReader struct {
 	words []string
--- a/runtime/runtime_test.go
+++ b/runtime/runtime_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"vetchdoor/control"
+	"vetchdoor/tenancy"
 )
 
 // scan feeds a text in pieces of a size and returns the requests it holds, words joined by |, payload lines by /.
@@ -99,6 +100,9 @@
 		{Verb: SetLevel, Table: 9, Level: 0, Again: control.TwiceMore},
 		{Verb: SetTenant, Tenant: "a b;", Rate: -1, Tries: 0.2},
 		{Verb: SetTenant, Tenant: "", Rate: 0.5, Fenced: true},
+		{Verb: SetBinding, Tenant: "a <<", Number: 1 << 63, Seat: tenancy.Seat{Draw: 3, Size: 2, Pods: []tenancy.PodID{1<<16 | 7, 9}}, Held: true},
+		{Verb: SetBinding, Tenant: "", Number: 1},
+		{Verb: ClearBindings, Number: 12},
 	}
 }
 
--- a/tenancy/store/store.go
+++ b/tenancy/store/store.go
@@ -20,7 +20,7 @@
 )
 
 // version of the file's layout.
-const version = 1
+const version = 2
 
 var (
 	about    = []byte("about")
@@ -28,6 +28,7 @@
 	proxies  = []byte("proxies")
 	theForm  = []byte("version")
 	theKnown = []byte("known")
+	theBirth = []byte("born")
 )
 
 // Store is an open file.
@@ -127,6 +128,9 @@
 	if got := binary.BigEndian.Uint32(v); got != version {
 		return false, fmt.Errorf("%s: its layout is version %d, this program reads version %d; it is left as it is", s.path, got, version)
 	}
+	if len(b.Get(theBirth)) != 8 {
+		return false, fmt.Errorf("%s: not a store of tenants, or torn", s.path)
+	}
 	return false, nil
 }
 
@@ -136,6 +140,10 @@
 			return err
 		}
 	}
+	born := uint64(time.Now().UnixMicro())
+	if err := tx.Bucket(about).Put(theBirth, binary.BigEndian.AppendUint64(nil, born)); err != nil {
+		return err
+	}
 	return tx.Bucket(about).Put(theForm, binary.BigEndian.AppendUint32(nil, version))
 }
 
@@ -197,27 +205,35 @@
 	return nil
 }
 
+// Kept is all that a store holds.
+type Kept struct {
+	Born    uint64 // microseconds since 1970 at which the store was made: below the numbers of all its orders
+	Records []tenancy.Record
+	Known   []tenancy.ProxyID
+}
+
 // Load reads all that was kept. One torn record refuses the whole: a tenant whose place is not known must not be guessed.
-func (s *Store) Load() (records []tenancy.Record, known []tenancy.ProxyID, err error) {
+func (s *Store) Load() (k Kept, err error) {
 	defer s.guard(&err)()
 	err = s.db.View(func(tx *bbolt.Tx) error {
-		err := tx.Bucket(tenants).ForEach(func(k, v []byte) error {
+		k.Born = binary.BigEndian.Uint64(tx.Bucket(about).Get(theBirth))
+		err := tx.Bucket(tenants).ForEach(func(key, v []byte) error {
 			var r tenancy.Record
-			if err := s.unseal(fmt.Sprintf("a tenant, key %.40q", k), v, &r); err != nil {
+			if err := s.unseal(fmt.Sprintf("a tenant, key %.40q", key), v, &r); err != nil {
 				return err
 			}
-			records = append(records, r)
+			k.Records = append(k.Records, r)
 			return nil
 		})
 		if b := tx.Bucket(proxies).Get(theKnown); err == nil && b != nil {
-			err = s.unseal("the proxies", b, &known)
+			err = s.unseal("the proxies", b, &k.Known)
 		}
 		return err
 	})
 	if err != nil {
-		return nil, nil, err
+		return Kept{}, err
 	}
-	return records, known, nil
+	return k, nil
 }
 
 // Close closes the file.
--- a/tenancy/store/store_test.go
+++ b/tenancy/store/store_test.go
@@ -31,7 +31,8 @@
 	want := map[string]tenancy.Record{}
 	for i, n := range names {
 		for v := range uint64(3) {
-			r := tenancy.Record{Tenant: n, Subset: []tenancy.PodID{tenancy.PodID(i)}, Number: v, Phase: tenancy.Draining, Proxies: []tenancy.ProxyID{1, 2}}
+			r := tenancy.Record{Tenant: n, Seat: tenancy.Seat{Draw: uint32(i), Pods: []tenancy.PodID{7}}, Number: v, Phase: tenancy.Draining,
+				Asked: &tenancy.Ask{Tenant: n, Waits: true}}
 			if err := s.Keep(tenancy.Done{Records: []tenancy.Record{r}, Known: []tenancy.ProxyID{1, 2, 3}}); err != nil {
 				t.Fatal(err)
 			}
@@ -42,11 +43,11 @@
 		t.Errorf("opened twice: %v", err)
 	}
 	s.Close()
-	records, known, err := open(t, path).Load()
-	if err != nil || len(records) != len(names) || !reflect.DeepEqual(known, []tenancy.ProxyID{1, 2, 3}) {
-		t.Fatal(len(records), known, err)
+	kept, err := open(t, path).Load()
+	if err != nil || len(kept.Records) != len(names) || !reflect.DeepEqual(kept.Known, []tenancy.ProxyID{1, 2, 3}) || kept.Born == 0 {
+		t.Fatal(kept, err)
 	}
-	for _, r := range records {
+	for _, r := range kept.Records {
 		if !reflect.DeepEqual(r, want[r.Tenant]) {
 			t.Errorf("%+v", r)
 		}
@@ -104,7 +105,7 @@
 		}
 		s, err := Open(path)
 		if err == nil {
-			_, _, err = s.Load()
+			_, err = s.Load()
 			s.Close()
 		}
 		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") || !strings.HasPrefix(err.Error(), path) {
@@ -120,25 +121,27 @@
 func TestMoverFromStore(t *testing.T) {
 	s := open(t, filepath.Join(t.TempDir(), "tenants.db"))
 	waits := tenancy.Waits{Write: 1, Window: 1, Most: 1 << 40}
-	m := tenancy.NewMover(waits, nil, nil)
-	m.Settle("a", []tenancy.PodID{1})
+	m := tenancy.NewMover(waits, 5, nil, nil)
 	for id := range tenancy.ProxyID(3) {
-		if err := s.Keep(m.Step(0, tenancy.Event{Joined: &id})); err != nil {
+		if err := s.Keep(m.Step(0, tenancy.Event{Joined: &tenancy.Joined{Proxy: id}})); err != nil {
 			t.Fatal(err)
 		}
 	}
-	d := m.Step(1, tenancy.Event{Ask: &tenancy.Ask{Tenant: "a", To: []tenancy.PodID{2}}})
+	d := m.Step(1, tenancy.Event{Ask: &tenancy.Ask{Tenant: "a", To: tenancy.Seat{Draw: 1}}})
 	if err := s.Keep(d); err != nil || len(d.Orders) != 3 {
 		t.Fatal(err, d)
 	}
-	records, known, err := s.Load()
+	kept, err := s.Load()
 	if err != nil {
 		t.Fatal(err)
 	}
-	again := tenancy.NewMover(waits, records, known)
+	again := tenancy.NewMover(waits, 5, kept.Records, kept.Known)
 	one, _ := m.Of("a")
 	two, ok := again.Of("a")
-	if !ok || fmt.Sprint(one) != fmt.Sprint(two) || two.Phase != tenancy.Holding || len(two.Awaited) != 3 {
+	if !ok || fmt.Sprint(one) != fmt.Sprint(two) || two.Phase != tenancy.Holding {
 		t.Errorf("%+v\n%+v", one, two)
 	}
+	if moving, _ := again.Moving(0); len(moving) != 1 || len(moving[0].Away) != 3 {
+		t.Errorf("%+v", moving)
+	}
 }
--- a/tenancy/warden.go
+++ b/tenancy/warden.go
@@ -118,6 +118,15 @@
 	return out
 }
 
+// Met returns the running mean of what was met of a tenant over a period.
+func (w *Warden) Met(name string) Use {
+	t := w.tenants[name]
+	if t == nil {
+		return Use{Tenant: name}
+	}
+	return Use{Tenant: name, Ops: t.ops, Failed: t.failed, Busy: time.Duration(t.busy * float64(time.Second))}
+}
+
 // fold keeps the number of tenants within its bound: those that are kept already and the busiest of the new ones.
 func (w *Warden) fold(uses []Use) []Use {
 	fresh := map[string]time.Duration{}
