--- a/pilot/moves_test.go
+++ b/pilot/moves_test.go
@@ -155,7 +155,9 @@
 	r.seated("draw 1 size 3 pods 0.0", y2)
 	r.ask("set tenant delo subset home")
 	r.until("home", r.says("show move", "Moved: 3\n"))
-	r.until("forgotten by the proxies", func() bool { return strings.Contains(x.Info()+y2.Info(), "\nBindings: 0\n") && !strings.Contains(x.Info()+y2.Info(), "\nBindings: 1\n") })
+	r.until("forgotten by the proxies", func() bool {
+		return strings.Contains(x.Info()+y2.Info(), "\nBindings: 0\n") && !strings.Contains(x.Info()+y2.Info(), "\nBindings: 1\n")
+	})
 }
 
 // Commands that ask for what cannot be are answered with why, and change nothing.
@@ -271,7 +273,9 @@
 	r.ask("move tenant delo")
 	r.seated("draw 1 size 0 pods *", x)
 	r.p.Kill()
-	r.until("goes home, after a wait", func() bool { return strings.Contains(x.Info(), "\nPilot: q\n") && strings.Contains(x.Info(), "\nBindings: 0\n") })
+	r.until("goes home, after a wait", func() bool {
+		return strings.Contains(x.Info(), "\nPilot: q\n") && strings.Contains(x.Info(), "\nBindings: 0\n")
+	})
 	r.start(r.file)
 }
 
