The laboratory plays moves of tenants and four more kinds of misbehaviour

Need: moves were tested one by one; nothing played them under load, and one kind of bad tenant only.

--- a/files/day.go
+++ b/files/day.go
@@ -66,6 +66,10 @@
 	BadLength Duration `json:"bad_length,omitempty"`
 	BadRate   float64  `json:"bad_rate,omitempty"`  // ops a second that it adds
 	BadTimes  float64  `json:"bad_times,omitempty"` // times the work of each
+	BadHow    string   `json:"bad_how,omitempty"`   // what else is wrong with them
+
+	Known bool `json:"known,omitempty"` // proxies have the list of the tenants that there are
+	Moves bool `json:"moves,omitempty"` // pilots can move tenants; a trouble asks them to
 }
 
 // Work is the work of an op type.
@@ -82,6 +86,8 @@
 	TryShare float64  `json:"try_share"` // a try is given up after this share of the op timeout
 	Backoff  Duration `json:"backoff,omitempty"`
 	Honour   float64  `json:"honour,omitempty"` // share of clients that keep to Retry-After
+
+	Elsewhere float64 `json:"elsewhere,omitempty"` // share of repeats that go to a proxy drawn anew
 }
 
 // Trouble is one thing that goes wrong.
--- a/lab/account.go
+++ b/lab/account.go
@@ -202,6 +202,7 @@
 	Breaks     []Break       `json:"breaks"`
 	Service    Service       `json:"service"`
 	Tenants    *TenantLine   `json:"tenants,omitempty"`
+	Moves      *MoveLine     `json:"moves,omitempty"`
 	Tries      int           `json:"tries_at_nodes"`
 	Falls      int           `json:"cold_nodes_fallen"`
 	Effects    int           `json:"effects"`
@@ -214,57 +215,6 @@
 	BehindMost time.Duration `json:"generator_behind_most_ns"`
 }
 
-// TenantLine is how the tenants fared while one of them misbehaved: the others' service, the part of them that got less
-// than half, and its own.
-type TenantLine struct {
-	Others float64 `json:"others"`
-	Ruined float64 `json:"others_under_half"`
-	Bad    float64 `json:"bad"`
-}
-
-// tenantAccount adds up the ops of the bad tenant's spell, or of the whole day where there is none.
-func tenantAccount(d *files.Day, ops []*op) *TenantLine {
-	c := &d.Load.Tenants
-	if c.Count == 0 {
-		return nil
-	}
-	types := d.Service.Types()
-	from, to := time.Duration(0), d.Length.Span()
-	if c.Bad > 0 {
-		from, to = c.BadAt.Span(), c.BadAt.Span()+c.BadLength.Span()
-	}
-	by := map[int]*part{}
-	var others, bad part
-	for _, o := range ops {
-		if o.at < from || o.at >= to {
-			continue
-		}
-		t, got := &types[o.opType], 0.0
-		if o.outcome == opAcked && o.latency() <= t.TargetLatency {
-			got = t.Revenue
-		} else if o.outcome == opAcked {
-			got = t.Revenue * t.LateShare
-		}
-		if o.tenant == c.Bad {
-			bad.got, bad.asked = bad.got+got, bad.asked+t.Revenue
-			continue
-		}
-		others.got, others.asked = others.got+got, others.asked+t.Revenue
-		if by[o.tenant] == nil {
-			by[o.tenant] = &part{}
-		}
-		by[o.tenant].got += got
-		by[o.tenant].asked += t.Revenue
-	}
-	ruined := 0
-	for _, p := range by {
-		if p.share() < 0.5 {
-			ruined++
-		}
-	}
-	return &TenantLine{Others: others.share(), Ruined: float64(ruined) / float64(max(len(by), 1)), Bad: bad.share()}
-}
-
 // Kept tells whether all rules were kept.
 func (r *Report) Kept() bool { return len(r.Breaks) == 0 }
 
@@ -303,6 +253,12 @@
 	}
 	if t := r.Tenants; t != nil {
 		fmt.Fprintf(w, "tenants: others' service %.3f, %.1f%% of them under half; the one that misbehaves %.3f\n", t.Others, 100*t.Ruined, t.Bad)
+		if t.OutsideShare > 0 {
+			fmt.Fprintf(w, "  %.1f%% of the others' ops could reach none of its pods: service %.3f; the rest %.3f\n", 100*t.OutsideShare, t.Outside, t.Inside)
+		}
+	}
+	if r.Moves != nil {
+		r.Moves.print(w)
 	}
 	fmt.Fprintf(w, "%d tries at nodes, %d effects of writes (%d doubled by clients' repeats), %d cold nodes fell over\n", r.Tries, r.Effects,
 		r.Doubled, r.Falls)
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"vetchdoor/control"
@@ -26,6 +27,7 @@
 // fleet is all the parts of a day, running in this process over loopback sockets.
 type fleet struct {
 	day        *files.Day
+	believed   files.Service // what pilots and proxies take the day's to be
 	log        *slog.Logger
 	rng        *rand.Rand // of the day's draws
 	tap        *link.Tap
@@ -44,6 +46,8 @@
 	shares     []float64  // of the traffic, by proxy
 	timers     sync.WaitGroup
 	stop       chan struct{}
+	asked      atomic.Int64                     // moves of tenants
+	unasked    atomic.Int64                     // of those, not taken
 	handshakes int                              // of proxies that have ended
 	wrap       func(*files.Proxy, *proxy.Proxy) // tests make proxies faulty
 }
@@ -76,9 +80,12 @@
 }
 
 // newFleet builds and starts everything but the clients.
-func newFleet(day *files.Day, log *slog.Logger, wrap func(*files.Proxy, *proxy.Proxy)) (f *fleet, err error) {
-	f = &fleet{day: day, log: log, rng: rand.New(rand.NewPCG(day.Seed, 2)), ledger: node.NewLedger(), born: time.Now(),
-		stop: make(chan struct{}), wrap: wrap}
+func newFleet(day *files.Day, o *Options) (f *fleet, err error) {
+	f = &fleet{day: day, log: o.Log, rng: rand.New(rand.NewPCG(day.Seed, 2)), ledger: node.NewLedger(), born: time.Now(),
+		stop: make(chan struct{}), wrap: o.faulty, believed: day.Service}
+	if f.believed.OpTypes = slices.Clone(day.Service.OpTypes); o.believe != nil {
+		o.believe(&f.believed)
+	}
 	f.tap = link.NewTap(f.ledger.From())
 	defer func() {
 		if err != nil {
@@ -122,6 +129,7 @@
 	spare := len(at) - d.Fleet.Spare
 	for i, a := range at {
 		n := node.New(a, machines[a.Machine], &d.Service, d.Limits, d.Seed, f.ledger)
+		n.Killed = func() { f.poisoned(n) }
 		if i >= spare {
 			f.spare = append(f.spare, n)
 			continue
@@ -215,8 +223,12 @@
 		at.file = &files.Pilot{Kind: "pilot", Name: fmt.Sprintf("pilot-%d", i), Zone: d.Service.Zones[zone], Instance: i,
 			Instances: d.Fleet.Pilots, Proxies: d.Fleet.Proxies, Listen: "127.0.0.1:0", Roster: at.list.Address(),
 			Cache: filepath.Join(f.dir, fmt.Sprintf("list-%d.json", i)), Seed: d.Seed*100 + uint64(i) + 1,
-			Service: d.Service, Limits: d.Limits, Channel: d.Channel, Silent: files.Duration(3 * time.Second),
+			Service: f.believed, Limits: d.Limits, Channel: d.Channel, Silent: files.Duration(3 * time.Second),
 			Tenants: d.Load.Tenants.Limits}
+		if d.Load.Tenants.Moves {
+			at.file.Moves = &files.Moves{Store: filepath.Join(f.dir, fmt.Sprintf("tenants-%d.db", i)), Abreast: 512, Most: files.Duration(time.Minute)}
+			at.file.Admin = "127.0.0.1:0"
+		}
 		if at.p, err = pilot.New(at.file, f.log); err != nil {
 			return err
 		}
@@ -237,10 +249,16 @@
 		at := &proxyAt{zone: zone, seeds: d.Seed}
 		f.proxies = append(f.proxies, at)
 		at.file = &files.Proxy{Kind: "proxy", ID: uint16(i), Zone: d.Service.Zones[zone], Listen: "127.0.0.1:0",
-			Rate: f.shares[i] * perSecond, Service: d.Service, Redial: files.Duration(400 * time.Millisecond),
+			Rate: f.shares[i] * perSecond, Service: f.believed, Redial: files.Duration(400 * time.Millisecond),
 			Silent: files.Duration(4 * time.Second)}
 		if c := &d.Load.Tenants; c.Count > 0 {
 			at.file.Tenants = &files.Tenants{Header: tenantField, Subset: c.Subset}
+			for n := 1; c.Known && n <= c.Count; n++ {
+				at.file.Tenants.Known = append(at.file.Tenants.Known, newsroom(n))
+			}
+			if c.Moves {
+				at.file.Tenants.Bindings = filepath.Join(f.dir, fmt.Sprintf("bindings-%d", i))
+			}
 		}
 		for j, p := range f.pilots {
 			l, err := link.Open(fmt.Sprintf("stream %d %d", i, j), p.p.Address(), f.tap,
--- a/lab/load.go
+++ b/lab/load.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"bytes"
 	"math"
 	"math/rand/v2"
 	"sort"
@@ -24,8 +25,10 @@
 	opType  int
 	proxy   int
 	work    time.Duration
-	tenant  int // from 1; 0: nobody's
+	tenant  int    // from 1; 0: nobody's
+	bad     string // how, of a bad tenant in its spell
 	tries   int
+	held    bool // it was told that its tenant is being moved
 	ended   time.Duration
 	outcome outcome
 }
@@ -146,36 +149,6 @@
 	return out
 }
 
-// misbehave adds what the day's bad tenant sends beside its usual ops, and makes each of its ops dear.
-func (f *fleet) misbehave(ops []*op) []*op {
-	c := &f.day.Load.Tenants
-	if c.Bad == 0 {
-		return ops
-	}
-	rng := rand.New(rand.NewPCG(f.day.Seed, 5))
-	from, to := c.BadAt.Span(), c.BadAt.Span()+c.BadLength.Span()
-	for at := from; c.BadRate > 0; {
-		if at += time.Duration(rng.ExpFloat64() / c.BadRate * float64(time.Second)); at >= to {
-			break
-		}
-		w := f.day.Load.Works[rng.IntN(len(f.day.Load.Works))]
-		o := &op{at: at, number: uint64(len(ops) + 1), tenant: c.Bad, proxy: rng.IntN(len(f.proxies)), work: drawWork(rng, w)}
-		for i, t := range f.day.Service.OpTypes {
-			if t.Name == w.OpType {
-				o.opType = i
-			}
-		}
-		ops = append(ops, o)
-	}
-	for _, o := range ops {
-		if o.tenant == c.Bad && o.at >= from && o.at < to && c.BadTimes > 0 {
-			o.work = time.Duration(float64(o.work) * c.BadTimes)
-		}
-	}
-	sort.SliceStable(ops, func(i, j int) bool { return ops[i].at < ops[j].at })
-	return ops
-}
-
 func drawWork(rng *rand.Rand, w files.Work) time.Duration {
 	x := rng.ExpFloat64()
 	if w.CV > 0 {
@@ -226,7 +199,15 @@
 	if share <= 0 || share > 1 {
 		share = 1
 	}
-	first := time.Now()
+	switch o.bad {
+	case badHasty:
+		s.hasty(from, o, deadline)
+		return
+	case badReader:
+		s.slowly(from, o, deadline)
+		return
+	}
+	first, at := time.Now(), o.proxy
 	for {
 		until := time.Now().Add(time.Duration(share * float64(t.OpTimeout)))
 		if until.After(deadline) {
@@ -234,7 +215,7 @@
 		}
 		req := s.request(o)
 		o.tries++
-		a, fail := s.pool.Send(&upstream.Call{}, s.targets[o.proxy], req, until, false)
+		a, fail := s.pool.Send(&upstream.Call{}, s.targets[at], req, until, false)
 		o.outcome = opAborted
 		refused, wait := false, c.Backoff.Span()
 		if fail == nil {
@@ -243,6 +224,7 @@
 				o.outcome = opAcked
 			case a.Status == 503:
 				o.outcome, refused = opRejected, true
+				o.held = o.held || bytes.HasPrefix(a.Body, []byte("the tenant is being moved"))
 				if after, err := strconv.Atoi(string(a.Get("Retry-After"))); err == nil && s.chance() < c.Honour {
 					wait = max(wait, time.Duration(after)*time.Second)
 				}
@@ -258,6 +240,9 @@
 			return
 		}
 		time.Sleep(wait)
+		if c.Elsewhere > 0 && s.chance() < c.Elsewhere {
+			at = int(s.chance() * float64(len(s.targets)))
+		}
 	}
 }
 
@@ -287,7 +272,13 @@
 	b = http1.AppendField(b, node.TypeField, strconv.Itoa(o.opType))
 	b = http1.AppendField(b, node.WorkField, strconv.FormatInt(o.work.Microseconds(), 10))
 	if o.tenant > 0 {
-		b = http1.AppendField(b, tenantField, "newsroom-"+strconv.Itoa(o.tenant))
+		b = http1.AppendField(b, tenantField, o.whose())
+	}
+	switch o.bad {
+	case badPoison:
+		b = http1.AppendField(b, node.KillField, "1")
+	case badReader:
+		b = http1.AppendField(b, node.SizeField, "262144")
 	}
 	if s.types[o.opType].Repeat == control.Deduplicated {
 		b = http1.AppendField(b, "Idempotency-Key", "op-"+strconv.FormatUint(o.number, 10))
--- a/lab/node/node.go
+++ b/lab/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"strconv"
@@ -23,6 +24,8 @@
 	TryField  = "Lab-Try"  // the client's own tries, from 0
 	TypeField = "Lab-Type" // the op type's place
 	WorkField = "Lab-Work" // in microseconds of a core of speed 1
+	KillField = "Lab-Kill" // what serves this op dies
+	SizeField = "Lab-Size" // bytes of the answer
 )
 
 // usualWork is the work of an op that does not say.
@@ -38,6 +41,7 @@
 	zone    int
 	ledger  *Ledger
 	speed   float64
+	Killed  func() // called once an op has killed it; may be nil
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -50,6 +54,7 @@
 	running map[*job]bool
 	budget  []spent // work that came lately, while cold
 	fallen  bool
+	dying   bool // of an op that kills
 	trouble Trouble
 	paused  time.Time // until then nothing ends
 	load    load
@@ -155,6 +160,7 @@
 func (n *Node) Start(cold bool) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.dying = false
 	if n.up || n.fallen {
 		return nil
 	}
@@ -303,6 +309,21 @@
 		<-j.gone
 		return
 	}
+	if m.Get(KillField) != nil && j.Taken {
+		first := !n.dying
+		n.dying = true
+		n.mu.Unlock()
+		if first {
+			go func() {
+				n.Stop()
+				if n.Killed != nil {
+					n.Killed()
+				}
+			}()
+		}
+		c.Drop()
+		return
+	}
 	if n.overloaded(j.work) {
 		n.fallen = true
 		n.ledger.fell(Fall{At: j.At, Endpoint: j.Endpoint})
@@ -339,7 +360,11 @@
 	c.OnGone(nil)
 	switch v {
 	case acked:
-		_ = c.Write(http1.AppendBody(n.report(http1.AppendStatus(nil, 200)), []byte("ok\n")))
+		body := []byte("ok\n")
+		if size, err := strconv.Atoi(string(m.Get(SizeField))); err == nil && size > 0 && size <= 1<<20 {
+			body = bytes.Repeat([]byte("x"), size)
+		}
+		_ = c.Write(http1.AppendBody(n.report(http1.AppendStatus(nil, 200)), body))
 	case errored:
 		_ = c.Write(http1.AppendBody(n.report(http1.AppendStatus(nil, 500)), nil))
 	default:
--- a/lab/run.go
+++ b/lab/run.go
@@ -23,7 +23,8 @@
 	Log      *slog.Logger
 	Progress io.Writer // nil: silent
 	faulty   func(*files.Proxy, *proxy.Proxy)
-	begin    func(*fleet) // before the first op
+	begin    func(*fleet)         // before the first op
+	believe  func(*files.Service) // changes what pilots and proxies take the service to be
 }
 
 // settle is how long the fleet has before the first op.
@@ -35,7 +36,7 @@
 	if o.Progress == nil {
 		o.Progress = io.Discard
 	}
-	f, err := newFleet(day, o.Log, o.faulty)
+	f, err := newFleet(day, &o)
 	if err != nil {
 		return nil, err
 	}
@@ -132,7 +133,11 @@
 	}
 	spent := f.spending(s, r, until-start, connections)
 	r.Service = account(d, s.ops, spent)
-	r.Tenants = tenantAccount(d, s.ops)
+	r.Tenants = tenantAccount(d, s.ops, e.apart(h, d, start))
+	r.Moves = f.moveAccount(h, s, start)
+	if r.Moves != nil && r.Moves.Lost > 0 {
+		r.Breaks = append(r.Breaks, Break{2, until, fmt.Sprintf("%d writes were acked and took no effect", r.Moves.Lost)})
+	}
 	effects, byNumber := map[uint64]int{}, map[uint64]*op{}
 	for _, x := range f.ledger.Effects() {
 		effects[x.Op]++
--- a/lab/trouble.go
+++ b/lab/trouble.go
@@ -69,8 +69,9 @@
 			}
 		}
 	},
-	"deploy":   (*fleet).deploy,
-	"flapping": (*fleet).flap,
+	"deploy":       (*fleet).deploy,
+	"move_tenants": (*fleet).moveTenants,
+	"flapping":     (*fleet).flap,
 	"grow": func(f *fleet, t *files.Trouble) { // new machines, cold, and traffic that follows
 		for i, n := range f.spare {
 			f.later(t.At.Span()+t.Length.Span()*time.Duration(i)/time.Duration(len(f.spare)), func() {
