Tenants borrow a pod, poison is fenced at once, limits outlive the pilot

Need: a pod that left a table was replaced at once, so that a tenant whose ops kill servers was handed the next ones; a subset drained whole left its tenant with nothing; limits were by rate alone and forgotten.

Change: pods that lost their lines count a minute more where subsets are drawn; a tenant with good credit borrows one pod while nothing of its subset can be used, its writes only after the wait of a move; the warden knows ops that ruin what serves them, limits ops in hand, sees servers' loads by pod, and its sentences are in the store.

--- a/pilot/book.go
+++ b/pilot/book.go
@@ -301,8 +301,12 @@
 
 // share is a tenant's limit as one of the joined proxies keeps it.
 func (b *book) share(c runtime.Change) runtime.Change {
+	n := float64(max(1, len(b.proxies)))
 	if c.Rate > 0 {
-		c.Rate /= float64(max(1, len(b.proxies)))
+		c.Rate /= n
+	}
+	if c.Hand > 0 {
+		c.Hand /= n
 	}
 	return c
 }
@@ -310,7 +314,7 @@
 // limit writes changed limits to all; one who has not been sent any gets them all.
 func (b *book) limit(limits []runtime.Change) (messages []outgoing) {
 	for _, c := range limits {
-		if b.limits[c.Tenant] = c; c.Rate < 0 && !c.Fenced {
+		if b.limits[c.Tenant] = c; c.Rate < 0 && c.Hand < 0 && !c.Fenced {
 			delete(b.limits, c.Tenant)
 		}
 	}
--- a/pilot/moves.go
+++ b/pilot/moves.go
@@ -27,7 +27,8 @@
 	moved   uint64
 	undone  uint64 // cancelled
 	held    time.Duration
-	last    []tenancy.End // the newest ends, for people
+	last    []tenancy.End      // the newest ends, for people
+	kept    []tenancy.Sentence // limits that stood when the last run ended
 }
 
 // bound is an order for one session of a proxy.
@@ -65,7 +66,8 @@
 	if w.Abreast <= 0 {
 		w.Abreast = defaultAbreast
 	}
-	p.mover = &mover{Mover: tenancy.NewMover(w, kept.Born, kept.Records, kept.Known), store: s, wake: time.NewTimer(0)}
+	p.mover = &mover{Mover: tenancy.NewMover(w, kept.Born, kept.Records, kept.Known), store: s, wake: time.NewTimer(0),
+		kept: kept.Sentences}
 	p.mover.disk = startDisk(s, p.log, func(orders []bound) { p.post(func() { p.bindings(orders) }) })
 	p.log.Info("tenants may be moved", "store", f.Store, "moved", len(kept.Records), "proxies", len(kept.Known))
 	return nil
@@ -183,6 +185,7 @@
 	mu    sync.Mutex
 	next  map[string]tenancy.Record
 	known []tenancy.ProxyID
+	limit []tenancy.Sentence // not nil: to be kept
 	bound []bound
 	look  int // orders at which those of sessions that ended are left out
 	err   error
@@ -220,20 +223,34 @@
 	}
 }
 
+// sentences takes in the limits that stand.
+func (d *disk) sentences(all []tenancy.Sentence) {
+	d.mu.Lock()
+	if d.limit = all; all == nil {
+		d.limit = []tenancy.Sentence{}
+	}
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (d *disk) run() {
 	defer close(d.done)
 	for {
+		ending := false
 		select {
 		case <-d.stop:
-			return
+			ending = true
 		case <-d.wake:
 		}
 		d.mu.Lock()
-		next, orders := tenancy.Done{Records: slices.Collect(maps.Values(d.next)), Known: d.known}, d.bound
-		d.next, d.known, d.bound = map[string]tenancy.Record{}, nil, nil
+		next, limits, orders := tenancy.Done{Records: slices.Collect(maps.Values(d.next)), Known: d.known}, d.limit, d.bound
+		d.next, d.known, d.limit, d.bound = map[string]tenancy.Record{}, nil, nil, nil
 		d.mu.Unlock()
 		for {
-			err := d.store.Keep(next)
+			err := d.store.Keep(next, limits)
 			d.mu.Lock()
 			d.err = err
 			d.mu.Unlock()
@@ -241,12 +258,18 @@
 				break
 			}
 			d.log.Error("tenants' places could not be kept; moves wait", "error", err)
+			if ending {
+				return
+			}
 			select {
 			case <-d.stop:
 				return
 			case <-time.After(time.Second):
 			}
 		}
+		if ending {
+			return
+		}
 		if len(orders) > 0 {
 			d.send(orders)
 		}
@@ -389,11 +412,11 @@
 		names = []string{runtime.TenantName(words[2])}
 	}
 	slices.Sort(names)
-	fmt.Fprintln(w, "# tenant,rate,tries,fenced,seat,phase,number,ops_s,failed_s,busy_s,")
+	fmt.Fprintln(w, "# tenant,rate,tries,hand,fenced,seat,phase,number,ops_s,failed_s,busy_s,")
 	for _, name := range slices.Compact(names) {
 		c, limited := limits[name]
 		if !limited {
-			c.Rate, c.Tries = -1, tenancy.TryBudget
+			c.Rate, c.Tries, c.Hand = -1, tenancy.TryBudget, -1
 		}
 		r := tenancy.Record{}
 		if p.mover != nil {
@@ -404,7 +427,7 @@
 			u = p.warden.Met(name)
 		}
 		per := p.facts.ReportEvery.Seconds()
-		fmt.Fprintf(w, "%s,%g,%g,%t,%s,%s,%d,%.3g,%.3g,%.3g,\n", runtime.Quote("="+name), c.Rate, c.Tries, c.Fenced, r.Seat, r.Phase, r.Number,
+		fmt.Fprintf(w, "%s,%g,%g,%g,%t,%s,%s,%d,%.3g,%.3g,%.3g,\n", runtime.Quote("="+name), c.Rate, c.Tries, c.Hand, c.Fenced, r.Seat, r.Phase, r.Number,
 			u.Ops/per, u.Failed/per, u.Busy.Seconds()/per)
 	}
 	return nil
--- a/pilot/moves_test.go
+++ b/pilot/moves_test.go
@@ -20,6 +20,7 @@
 	stand "vetchdoor/lab/roster"
 	"vetchdoor/proxy"
 	"vetchdoor/runtime"
+	"vetchdoor/tenancy"
 )
 
 // movesRig is a pilot that moves tenants, with proxies that keep their bindings.
@@ -279,6 +280,42 @@
 	r.start(r.file)
 }
 
+// Limits of tenants outlive a pilot with a store.
+func TestLimitsOutlive(t *testing.T) {
+	r := newMovesRig(t, func(f *files.Pilot) { f.Tenants = true })
+	r.p.post(func() {
+		for i := range 10 {
+			x := tenancy.Use{Tenant: fmt.Sprint("t", i), Pod: 1, Ops: 10, Failed: 2, Busy: time.Second}
+			if i == 3 {
+				x.Ops, x.Failed, x.Busy = 1000, 900, time.Minute
+			}
+			r.p.uses = append(r.p.uses, x)
+		}
+		for range 2 {
+			uses := r.p.uses
+			r.p.limitTenants()
+			r.p.uses = uses
+		}
+	})
+	r.until("limited", r.says("show tenant", "=t3,"))
+	before := r.ask("show tenant t3")
+	r.until("kept", func() bool {
+		r.p.mover.disk.mu.Lock()
+		defer r.p.mover.disk.mu.Unlock()
+		return r.p.mover.disk.limit == nil
+	})
+	r.p.Stop()
+	r.start(r.file)
+	if got := r.ask("show tenant t3"); strings.Split(got, ",draw")[0] != strings.Split(before, ",draw")[0] {
+		t.Errorf("%s\n%s", before, got)
+	}
+	x := r.run(r.proxyFile(1, r.p.Address()), nil)
+	defer x.Kill()
+	r.until("a proxy is told", func() bool {
+		return strings.Contains(x.Tenants("t3"), "=t3,") && !strings.Contains(x.Tenants("t3"), "=t3,-1,")
+	})
+}
+
 // A store that cannot be read keeps a pilot from starting; one that another pilot has open too.
 func TestMoveStoreRefused(t *testing.T) {
 	r := newMovesRig(t, nil)
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -4,12 +4,14 @@
 package pilot
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,7 +62,8 @@
 	intake       *intake
 	warden       *tenancy.Warden // nil: tenants are not limited
 	uses         []tenancy.Use
-	mover        *mover // nil: tenants are not moved
+	loads        map[tenancy.PodID]*[2]float64 // what servers said since the last look: sum and number
+	mover        *mover                        // nil: tenants are not moved
 	events       []control.Event
 	batch        *time.Timer // set while events wait for their tick
 	pace         *time.Timer // set while a message waits for its time
@@ -275,8 +278,18 @@
 	p.book = newBook(len(p.facts.OpTypes), int(p.facts.MessageLines), p.where)
 	p.channel = newChannel(p.facts.LinesPerSecond, p.facts.MostWaiting)
 	p.intake = newIntake(p.facts.ReportLinesPerS, len(p.facts.Measures))
-	if p.uses = nil; p.file.Tenants {
+	if p.uses, p.loads = nil, map[tenancy.PodID]*[2]float64{}; p.file.Tenants {
+		var kept []tenancy.Sentence
+		if p.warden != nil {
+			kept = p.warden.Sentences()
+		} else if p.mover != nil {
+			kept = p.mover.kept
+		}
 		p.warden = tenancy.NewWarden(p.facts.ReportEvery)
+		p.warden.Restore(kept)
+		for _, s := range kept {
+			p.book.limits[s.Tenant] = runtime.Change{Verb: runtime.SetTenant, Tenant: s.Tenant, Rate: s.Rate, Tries: s.Tries, Hand: s.Hand, Fenced: s.Fenced}
+		}
 	}
 	p.sessions, p.numbers = map[control.ProxyID]*session{}, map[control.ProxyID]uint64{}
 	p.events = []control.Event{control.Start{Facts: p.facts, Seed: p.seed},
@@ -394,26 +407,63 @@
 	if p.warden == nil || p.channel.waiting > p.channel.most/2 {
 		return
 	}
-	limits := p.warden.Step(p.uses, nil)
+	limits := p.warden.Step(p.uses, p.podLoads())
 	p.uses = nil
+	for _, l := range limits {
+		p.log.Warn("a tenant's limit changed", "tenant", l.Tenant, "rate", l.Rate, "hand", l.Hand, "fenced", l.Fenced)
+	}
+	if len(limits) > 0 {
+		if p.mover != nil {
+			p.mover.disk.sentences(p.warden.Sentences())
+		}
+		p.sendLimits(limits)
+	}
+}
+
+// sendLimits has proxies told of limits.
+func (p *Pilot) sendLimits(limits []tenancy.Limit) {
 	var changes []runtime.Change
 	for _, l := range limits {
-		p.log.Warn("a tenant's limit changed", "tenant", l.Tenant, "rate", l.Rate, "fenced", l.Fenced)
-		changes = append(changes, runtime.Change{Verb: runtime.SetTenant, Tenant: l.Tenant, Rate: l.Rate, Tries: l.Tries, Fenced: l.Fenced})
+		changes = append(changes, runtime.Change{Verb: runtime.SetTenant, Tenant: l.Tenant, Rate: l.Rate, Tries: l.Tries, Hand: l.Hand, Fenced: l.Fenced})
 	}
-	if len(changes) > 0 {
-		p.queue(p.now(), p.book.limit(changes))
-		p.pump()
+	p.queue(p.now(), p.book.limit(changes))
+	p.pump()
+}
+
+// podLoads returns how busy pods said they are over the period, the mean of their servers.
+func (p *Pilot) podLoads() (out []tenancy.Health) {
+	for pod, l := range p.loads {
+		out = append(out, tenancy.Health{Pod: pod, Load: l[0] / l[1]})
 	}
+	clear(p.loads)
+	slices.SortFunc(out, func(a, b tenancy.Health) int { return cmp.Compare(a.Pod, b.Pod) })
+	return out
 }
 
 // mostUses bounds what is kept of a period's sums by tenant.
 const mostUses = 1 << 16
 
-// used takes in what a proxy met of tenants.
+// used takes in what a proxy met of tenants, and how busy servers said they are.
 func (p *Pilot) used(s *runtime.Sums) {
+	if p.warden == nil {
+		return
+	}
+	if busy := slices.Index(p.file.Service.Measures, "cpu_utilization"); busy >= 0 {
+		for _, e := range s.Servers {
+			at, ok := p.where(e.Endpoint)
+			if !ok || len(e.Load) <= busy {
+				continue
+			}
+			pod := tenancy.PodID(at.Zone)<<16 | tenancy.PodID(at.Pack)
+			if p.loads[pod] == nil {
+				p.loads[pod] = &[2]float64{}
+			}
+			p.loads[pod][0] += e.Load[busy]
+			p.loads[pod][1]++
+		}
+	}
 	for _, t := range s.Tenants {
-		if p.warden != nil && len(p.uses) < mostUses {
+		if len(p.uses) < mostUses {
 			p.uses = append(p.uses, tenancy.Use{Tenant: t.Tenant, Pod: tenancy.PodID(t.Pod), Ops: float64(t.Ops), Failed: float64(t.Failed), Busy: t.Busy})
 		}
 	}
--- a/pilot/pilot_test.go
+++ b/pilot/pilot_test.go
@@ -521,7 +521,7 @@
 		if strings.HasPrefix(line, "set tenant ") && !strings.HasPrefix(line, `set tenant =t\ 3 rate `) {
 			t.Fatalf("limited a bystander: %s", line)
 		}
-		if strings.HasSuffix(line, " fence on\n") {
+		if strings.Contains(line, " fence on hand ") {
 			return
 		}
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -56,7 +56,7 @@
 }
 
 // tally counts since the start, for people.
-type tally struct{ ops, acked, rejected, aborted, retried, held, applied, again atomic.Int64 }
+type tally struct{ ops, acked, rejected, aborted, retried, held, borrowed, applied, again atomic.Int64 }
 
 // opType is what the proxy keeps for one op type.
 type opType struct {
@@ -75,7 +75,7 @@
 // New makes a proxy from its file; Start runs it.
 func New(file *files.Proxy, log *slog.Logger) (*Proxy, error) {
 	p := &Proxy{file: file, log: log.With("proxy", file.ID), zone: file.Service.ZoneIndex(file.Zone), started: time.Now(),
-		servers: servers{byID: map[control.EndpointID]*server{}}}
+		servers: servers{byID: map[control.EndpointID]*server{}, born: time.Now()}}
 	seed := file.Seed
 	if seed == 0 {
 		seed = rand.Uint64()
@@ -259,6 +259,7 @@
 		p.answer(c, s, 503, "over the tenant's limit", p.retryAfter())
 		return
 	}
+	defer whose.done()
 	if whose != nil && now.bindings.holds(whose.name, &t.OpType, arrived.Sub(p.started)) {
 		p.tally.rejected.Add(1)
 		p.tally.held.Add(1)
@@ -276,10 +277,16 @@
 	var last *upstream.Failure
 	for {
 		begin := time.Now()
-		subset := p.tenants.subset(whose, now.byType[i], now.bindings, allowed.fenced)
-		e := now.pickFor(i, begin, func(e *server) bool {
-			return (subset == nil || slices.Contains(subset, e.pod())) && (!t.OwnZoneOnly || e.Zone == p.zone) && !slices.Contains(tried, e) && state.at(e.Server, begin)
-		})
+		subset := p.tenants.subset(whose, now.byType[i], now.bindings, allowed.fenced, begin.Sub(p.started))
+		e, borrowed := p.tenants.pickOf(whose, now.byType[i], subset, limited, t.Repeat != control.Retryable, begin.Sub(p.started), now.bindings.wait,
+			func(subset []tenancy.PodID) *server {
+				return now.pickFor(i, begin, func(e *server) bool {
+					return (subset == nil || slices.Contains(subset, e.pod())) && (!t.OwnZoneOnly || e.Zone == p.zone) && !slices.Contains(tried, e) && state.at(e.Server, begin)
+				})
+			})
+		if borrowed {
+			p.tally.borrowed.Add(1)
+		}
 		if e == nil {
 			break
 		}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -24,6 +24,7 @@
 	"vetchdoor/files"
 	"vetchdoor/http1"
 	"vetchdoor/runtime"
+	"vetchdoor/tenancy"
 )
 
 func TestMain(m *testing.M) {
@@ -541,8 +542,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	who := &tenant{"delo", &account{}}
-	subset := x.subset(who, tab.byType[0], tab.bindings, false)
+	who := &tenant{name: "delo", account: &account{}}
+	subset := x.subset(who, tab.byType[0], tab.bindings, false, 0)
 	if len(subset) != 2 {
 		t.Fatalf("%v", subset)
 	}
@@ -558,14 +559,14 @@
 		out = append(out, fmt.Sprintf("set server */e%d state drain", id))
 	}
 	sick, err := tab.apply(message(2, out...), s, 1, rng())
-	if err != nil || !slices.Equal(x.subset(who, sick.byType[0], sick.bindings, false), subset) {
+	if err != nil || !slices.Equal(x.subset(who, sick.byType[0], sick.bindings, false, 0), subset) {
 		t.Errorf("a tenant whose servers are withdrawn was handed others: %v", err)
 	}
-	if (*tenants)(nil).subset(who, tab.byType[0], tab.bindings, false) != nil || (*tenants)(nil).of(nil, nil) != nil || !(*tenant)(nil).try() {
+	if (*tenants)(nil).subset(who, tab.byType[0], tab.bindings, false, 0) != nil || (*tenants)(nil).of(nil, nil) != nil || !(*tenant)(nil).try() {
 		t.Error("without tenants nothing is bound")
 	}
-	limited, err := tab.apply(message(2, "set tenant =delo rate 2 tries 0 fence on"), s, 1, rng())
-	if err != nil || len(limited.limits) != 1 || len(x.subset(who, limited.byType[0], limited.bindings, true)) != 1 {
+	limited, err := tab.apply(message(2, "set tenant =delo rate 2 tries 0 fence on hand *"), s, 1, rng())
+	if err != nil || len(limited.limits) != 1 || len(x.subset(who, limited.byType[0], limited.bindings, true, 0)) != 1 {
 		t.Fatal(err)
 	}
 	begin, in := time.Now(), 0
@@ -573,12 +574,23 @@
 	for i := range 100 { // ten seconds of ten ops each
 		if l, ok := limited.limits["delo"]; who.admit(l, ok, begin.Add(time.Duration(i)*100*time.Millisecond)) {
 			in++
+			who.done()
 		}
 	}
 	if in < 19 || in > 22 {
 		t.Errorf("%d ops let in over ten seconds at two a second", in)
 	}
-	if free, err := limited.apply(message(3, "set tenant =delo rate * tries 0.2 fence off"), s, 1, rng()); err != nil || len(free.limits) != 0 {
+	handful, err := tab.apply(message(2, "set tenant =delo rate * tries 0 fence off hand 2.5"), s, 1, rng())
+	if err != nil || len(handful.limits) != 1 {
+		t.Fatal(err)
+	}
+	who.done() // of the first above
+	for n := range 6 {
+		if who.admit(handful.limits["delo"], true, begin) != (n < 3) {
+			t.Errorf("%d ops in hand beside another", n)
+		}
+	}
+	if free, err := limited.apply(message(3, "set tenant =delo rate * tries 0.2 fence off hand *"), s, 1, rng()); err != nil || len(free.limits) != 0 {
 		t.Error("a limit that does not go", err)
 	}
 	breaks := origin(t, func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) })
@@ -592,3 +604,82 @@
 		t.Errorf("%d tries beyond the first for 100 ops", n)
 	}
 }
+
+// A tenant whose subset is withdrawn whole borrows a pod, once its ops are known to go well; one that nobody knows, or that
+// is limited, does not. Its writes wait until no repeat of the last can follow them, there and back.
+func TestBorrow(t *testing.T) {
+	var came [3]atomic.Int64
+	var origins []string
+	for i := range 3 {
+		origins = append(origins, origin(t, func(w http.ResponseWriter, r *http.Request) { came[i].Add(1) }))
+	}
+	p := start(t, func(f *files.Proxy) {
+		f.Tenants = &files.Tenants{Header: "Newsroom", Subset: 1}
+		f.Service.WriteLife = files.Duration(300 * time.Millisecond)
+		for i := range f.Servers {
+			f.Servers[i].Pack = i
+		}
+	}, origins...)
+	get := func(who string) int {
+		r, _ := ask(t, p, "GET / HTTP/1.1\r\nHost: h\r\nNewsroom: "+who+"\r\n\r\n")
+		return r.StatusCode
+	}
+	write := func() int {
+		r, _ := ask(t, p, "POST / HTTP/1.1\r\nHost: h\r\nNewsroom: delo\r\nContent-Length: 0\r\n\r\n")
+		return r.StatusCode
+	}
+	for range 9 {
+		if get("delo") != 200 {
+			t.Fatal("not served")
+		}
+	}
+	wrote := time.Now()
+	if write() != 200 {
+		t.Fatal("not written")
+	}
+	home := 0
+	for came[home].Load() == 0 {
+		home++
+	}
+	state := func(s string) {
+		if err := p.apply(message(1, fmt.Sprintf("set server */e%d state %s", home, s))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	state("drain")
+	if status := get("delo"); status != 200 || p.tally.borrowed.Load() != 1 {
+		t.Errorf("%d", status)
+	}
+	if status := write(); time.Since(wrote) < 300*time.Millisecond && status != 503 {
+		t.Errorf("a write went on at once: %d", status)
+	}
+	until := func(what string, ok func() bool) {
+		for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal(what)
+			}
+		}
+	}
+	until("writes go on at last", func() bool { return write() == 200 })
+	before := came[home].Load()
+	state("ready")
+	until("writes come home", func() bool { time.Sleep(400 * time.Millisecond); return write() == 200 && came[home].Load() > before })
+	state("drain")
+	newcomer := "" // one that nobody knows, at the same pod
+	for i := 0; newcomer == ""; i++ {
+		x := &tenant{name: fmt.Sprint("n", i), account: &account{}}
+		table := p.now.Load()
+		if s := p.tenants.subset(x, table.byType[1], table.bindings, false, 0); s[0] == tenancy.PodID(home) {
+			newcomer = x.name
+		}
+	}
+	if status := get(newcomer); status != 503 {
+		t.Errorf("one that nobody knows borrowed: %d", status)
+	}
+	if err := p.apply(message(1, "set tenant =delo rate 1000 tries 0 fence off hand *")); err != nil {
+		t.Fatal(err)
+	}
+	if status := get("delo"); status != 503 {
+		t.Errorf("one that is limited borrowed: %d", status)
+	}
+}
--- a/proxy/tables.go
+++ b/proxy/tables.go
@@ -68,6 +68,7 @@
 type servers struct {
 	mu   sync.Mutex
 	byID map[control.EndpointID]*server
+	born time.Time // of the proxy
 }
 
 // get returns the record of an endpoint at a place: the one that is held, or a new one, held once keep finds it named.
@@ -122,7 +123,7 @@
 func newTables(types int, standing []line, rng *rand.Rand) *tables {
 	t := &tables{named: map[control.TableID]*table{}, out: map[control.EndpointID]bool{}, levels: map[int]level{},
 		byType: make([]*table, types), bindings: &bindings{}}
-	t.standing = newTable("standing", standing, nil, types, rng)
+	t.standing = newTable("standing", standing, nil, types, 0, rng)
 	for i := range t.byType {
 		t.byType[i] = t.standing
 	}
@@ -130,8 +131,8 @@
 }
 
 // newTable builds a table and its pickers; those of the table before it, if any, hand on where they stand.
-func newTable(name string, lines []line, before *table, types int, rng *rand.Rand) *table {
-	t := &table{name: name, lines: lines, levels: map[int]level{}, picks: make([]*picker, types), drawn: &drawn{}}
+func newTable(name string, lines []line, before *table, types int, now time.Duration, rng *rand.Rand) *table {
+	t := &table{name: name, lines: lines, levels: map[int]level{}, picks: make([]*picker, types)}
 	for i := range t.picks {
 		var from *picker
 		if before != nil {
@@ -140,13 +141,11 @@
 		t.picks[i] = newPicker(lines, from, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())))
 	}
 	if before != nil {
-		if slices.EqualFunc(lines, before.lines, func(a, b line) bool { return a.server == b.server }) {
-			t.drawn = before.drawn
-		}
 		for k, v := range before.levels {
 			t.levels[k] = v
 		}
 	}
+	t.drawn = drawnAfter(before, lines, now)
 	return t
 }
 
@@ -235,7 +234,7 @@
 			if n.limits == nil {
 				n.limits = map[string]limit{}
 			}
-			if n.limits[c.Tenant] = (limit{c.Rate, c.Tries, c.Fenced}); c.Rate < 0 && !c.Fenced {
+			if n.limits[c.Tenant] = (limit{c.Rate, c.Tries, c.Hand, c.Fenced}); c.Rate < 0 && c.Hand < 0 && !c.Fenced {
 				delete(n.limits, c.Tenant)
 			}
 		case runtime.ClearState:
@@ -271,7 +270,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(lines)) {
 		old := n.named[id]
-		changed := newTable(fmt.Sprintf("t%d", id), lines[id], old, types, rng)
+		changed := newTable(fmt.Sprintf("t%d", id), lines[id], old, types, time.Since(s.born), rng)
 		if levels[id] != nil {
 			changed.levels = levels[id]
 		}
--- a/proxy/tenants.go
+++ b/proxy/tenants.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -34,12 +35,14 @@
 type limit struct {
 	rate   float64
 	tries  float64
+	hand   float64 // ops at a time; below 0: no limit
 	fenced bool
 }
 
 // tenant is one that sent ops lately.
 type tenant struct {
-	name string
+	name   string
+	shared bool // its account is that of all beyond the bound
 	*account
 }
 
@@ -47,7 +50,10 @@
 type account struct {
 	mu     sync.Mutex
 	budget tenancy.Budget
+	credit tenancy.Credit
+	lent   tenancy.Lent
 	tokens float64 // ops that it may send now, where its rate is limited
+	hand   int     // ops in hand
 	last   time.Time
 }
 
@@ -87,19 +93,19 @@
 		return x
 	}
 	if len(t.known) < mostTenants {
-		x = &tenant{name, &account{}}
+		x = &tenant{name: name, account: &account{}}
 		t.known[name] = x
 		return x
 	}
 	shared := t.known[tenancy.Folded]
 	if shared == nil {
-		shared = &tenant{tenancy.Folded, &account{}}
+		shared = &tenant{name: tenancy.Folded, account: &account{}}
 		t.known[tenancy.Folded] = shared
 	}
-	return &tenant{name, shared.account}
+	return &tenant{name, true, shared.account}
 }
 
-// admit earns an op's share of a try and tells whether a tenant's limit lets the op in.
+// admit earns an op's share of a try and tells whether a tenant's limit lets the op in; one that is in is in hand until done.
 func (x *tenant) admit(l limit, limited bool, now time.Time) bool {
 	if x == nil {
 		return true
@@ -109,10 +115,15 @@
 	if !limited {
 		x.budget.Op(tenancy.TryBudget)
 		x.tokens, x.last = 1, now
+		x.hand++
 		return true
 	}
 	x.budget.Op(l.tries)
+	if l.hand >= 0 && float64(x.hand) >= max(1, l.hand) {
+		return false
+	}
 	if l.rate < 0 {
+		x.hand++
 		return true
 	}
 	x.tokens = min(x.tokens+l.rate*now.Sub(x.last).Seconds(), max(1, l.rate))
@@ -121,9 +132,19 @@
 		return false
 	}
 	x.tokens--
+	x.hand++
 	return true
 }
 
+// done takes an op out of hand.
+func (x *tenant) done() {
+	if x != nil {
+		x.mu.Lock()
+		x.hand--
+		x.mu.Unlock()
+	}
+}
+
 // try spends one; without tenants nobody counts.
 func (x *tenant) try() bool {
 	if x == nil {
@@ -139,9 +160,11 @@
 
 // drawn keeps the subsets of tenants among a table's servers.
 type drawn struct {
-	mu   sync.Mutex
-	pods []tenancy.Pod
-	of   map[string]drawnAt
+	pods  *tenancy.Pods
+	mu    sync.Mutex
+	among []tenancy.Pod // what subsets are drawn among
+	holds time.Duration // until then, since the proxy's start
+	of    map[string]drawnAt
 }
 
 // drawnAt is a tenant's subset for a seat.
@@ -150,9 +173,27 @@
 	pods []tenancy.PodID
 }
 
+// drawnAfter returns what is drawn among for a table's new lines: the same where its servers are the same.
+func drawnAfter(before *table, lines []line, now time.Duration) *drawn {
+	if before != nil && slices.EqualFunc(lines, before.lines, func(a, b line) bool { return a.server == b.server }) {
+		return before.drawn
+	}
+	var live []tenancy.Pod
+	for _, l := range lines {
+		p := tenancy.Pod{ID: l.server.pod(), Zone: l.server.Zone, Power: 1}
+		if !slices.Contains(live, p) {
+			live = append(live, p)
+		}
+	}
+	if before == nil {
+		return &drawn{pods: (*tenancy.Pods)(nil).After(now, live)}
+	}
+	return &drawn{pods: before.drawn.pods.After(now, live)}
+}
+
 // subset returns the pods that a tenant may use of a table; nil for all. It is drawn from the pods with a line, withdrawn
-// or not: a tenant that makes its servers sick must not be handed others.
-func (t *tenants) subset(x *tenant, table *table, b *bindings, fenced bool) []tenancy.PodID {
+// or not, and those that lost theirs lately: a tenant that makes its servers sick must not be handed others.
+func (t *tenants) subset(x *tenant, table *table, b *bindings, fenced bool, now time.Duration) []tenancy.PodID {
 	if t == nil || len(table.lines) == 0 {
 		return nil
 	}
@@ -163,18 +204,17 @@
 	d := table.drawn
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.of == nil {
+	if d.of == nil || now >= d.holds {
 		d.of = map[string]drawnAt{}
-		for _, l := range table.lines {
-			p := tenancy.Pod{ID: l.server.pod(), Zone: l.server.Zone, Power: 1}
-			if !slices.Contains(d.pods, p) {
-				d.pods = append(d.pods, p)
-			}
+		var holds time.Duration
+		if d.among, holds = d.pods.Draw(now); holds < math.MaxInt64-now {
+			holds += now
 		}
+		d.holds = holds
 	}
 	s, ok := d.of[x.name]
 	if !ok || !s.seat.Equal(seat) {
-		s = drawnAt{seat, seat.Among(x.name, d.pods, t.count)}
+		s = drawnAt{seat, seat.Among(x.name, d.among, t.count)}
 		if ok || len(d.of) < mostDrawn {
 			d.of[x.name] = s
 		}
@@ -185,11 +225,44 @@
 	return s.pods
 }
 
+// pickOf picks a server for a try of a tenant's op: of its subset, or where nothing of that can be used of the one pod that
+// it may borrow, unless it is limited or its own tries did not go well. Writes change between the two only once no repeat of
+// the last one can follow.
+func (t *tenants) pickOf(x *tenant, table *table, subset []tenancy.PodID, limited, writes bool, now, wait time.Duration,
+	pick func([]tenancy.PodID) *server) (e *server, borrowed bool) {
+	if t == nil || subset == nil {
+		return pick(subset), false
+	}
+	x.mu.Lock()
+	pod, away := x.lent.At(now, wait)
+	lends := !x.shared && !limited && x.credit.Lends() && (!writes || x.lent.May(now, wait))
+	long := x.lent.Long(now)
+	x.mu.Unlock()
+	if away = away && writes && !x.shared; away && long && pick(subset) != nil {
+		return nil, false // it must come home, so its writes wait
+	} else if away {
+		e = pick([]tenancy.PodID{pod})
+	} else if e = pick(subset); e == nil && lends {
+		if pod, away = table.drawn.pods.Spare(x.name, subset); away {
+			e = pick([]tenancy.PodID{pod})
+		}
+	}
+	if e != nil && writes && !x.shared {
+		x.mu.Lock()
+		x.lent.Wrote(now, pod, away)
+		x.mu.Unlock()
+	}
+	return e, away && e != nil
+}
+
 // met sums up a try of a tenant at a server.
 func (t *tenants) met(x *tenant, e *server, failed bool, took time.Duration) {
 	if t == nil || x == nil {
 		return
 	}
+	x.mu.Lock()
+	x.credit.Met(!failed)
+	x.mu.Unlock()
 	k := sumKey{x.name, e.pod()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/runtime/change.go
+++ b/runtime/change.go
@@ -45,6 +45,7 @@
 	Rate     float64 // ops a second at this proxy; below 0: no limit
 	Tries    float64 // beyond the first, for each op
 	Fenced   bool    // to one pod of its subset alone
+	Hand     float64 // ops in hand at this proxy at a time; below 0: no limit
 	Number   uint64  // of a binding, among those of its pilot
 	Seat     tenancy.Seat
 	Held     bool // writes are refused with a time to come back
@@ -101,6 +102,11 @@
 		if b = append(b, " fence off"...); c.Fenced {
 			b = append(b[:len(b)-len("off")], "on"...)
 		}
+		if b = append(b, " hand "...); c.Hand < 0 {
+			b = append(b, '*')
+		} else {
+			b = number(b, c.Hand)
+		}
 	case SetBinding:
 		b = append(append(b, "set binding "...), Quote("="+c.Tenant)...)
 		b = strconv.AppendUint(append(b, " number "...), c.Number, 10)
@@ -193,16 +199,13 @@
 		w.again(&c)
 	case "set tenant":
 		c.Verb, c.Tenant, c.Rate = SetTenant, w.tenant(), -1
-		if w.expect("rate"); len(w.words) > 0 && w.words[0] == "*" {
-			w.take()
-		} else if c.Rate = w.float("rate"); c.Rate < 0 {
-			w.fail("rate %v is below 0", c.Rate)
-		}
+		c.Rate = w.bound("rate")
 		w.expect("tries")
 		if c.Tries = w.float("tries"); c.Tries < 0 {
 			w.fail("tries %v are below 0", c.Tries)
 		}
 		c.Fenced = w.onOff("fence")
+		c.Hand = w.bound("hand")
 	case "set binding":
 		c.Verb, c.Tenant = SetBinding, w.tenant()
 		w.expect("number")
@@ -280,6 +283,18 @@
 	return out
 }
 
+// bound reads a word and a number of 0 or more behind it; * for none, which is below 0.
+func (w *wordReader) bound(what string) (x float64) {
+	if w.expect(what); len(w.words) > 0 && w.words[0] == "*" {
+		w.take()
+		return -1
+	}
+	if x = w.float(what); x < 0 {
+		w.fail("%s %v is below 0", what, x)
+	}
+	return x
+}
+
 func (w *wordReader) onOff(what string) bool {
 	w.expect(what)
 	switch on := w.take(); on {
--- a/tenancy/store/store.go
+++ b/tenancy/store/store.go
@@ -23,12 +23,13 @@
 const version = 2
 
 var (
-	about    = []byte("about")
-	tenants  = []byte("tenants")
-	proxies  = []byte("proxies")
-	theForm  = []byte("version")
-	theKnown = []byte("known")
-	theBirth = []byte("born")
+	about     = []byte("about")
+	tenants   = []byte("tenants")
+	proxies   = []byte("proxies")
+	theForm   = []byte("version")
+	theKnown  = []byte("known")
+	theLimits = []byte("limits")
+	theBirth  = []byte("born")
 )
 
 // Store is an open file.
@@ -175,9 +176,10 @@
 }
 
 // Keep writes what a step of the Mover hands out, all of it or, on an error, nothing.
-func (s *Store) Keep(d tenancy.Done) (err error) {
+// Limits that stand take the place of those kept before where they are not nil.
+func (s *Store) Keep(d tenancy.Done, limits []tenancy.Sentence) (err error) {
 	defer s.guard(&err)()
-	if len(d.Records) == 0 && d.Known == nil {
+	if len(d.Records) == 0 && d.Known == nil && limits == nil {
 		return nil
 	}
 	err = s.db.Update(func(tx *bbolt.Tx) error {
@@ -190,14 +192,15 @@
 				return err
 			}
 		}
-		if d.Known == nil {
-			return nil
+		if d.Known != nil {
+			if err := put(tx, theKnown, d.Known); err != nil {
+				return err
+			}
 		}
-		b, err := seal(d.Known)
-		if err != nil {
-			return err
+		if limits != nil {
+			return put(tx, theLimits, limits)
 		}
-		return tx.Bucket(proxies).Put(theKnown, b)
+		return nil
 	})
 	if err != nil {
 		return fmt.Errorf("%s: %w", s.path, err)
@@ -205,11 +208,21 @@
 	return nil
 }
 
+func put(tx *bbolt.Tx, key []byte, v any) error {
+	b, err := seal(v)
+	if err != nil {
+		return err
+	}
+	return tx.Bucket(proxies).Put(key, b)
+}
+
 // Kept is all that a store holds.
 type Kept struct {
 	Born    uint64 // microseconds since 1970 at which the store was made: below the numbers of all its orders
 	Records []tenancy.Record
 	Known   []tenancy.ProxyID
+
+	Sentences []tenancy.Sentence // limits that stand
 }
 
 // Load reads all that was kept. One torn record refuses the whole: a tenant whose place is not known must not be guessed.
@@ -228,6 +241,9 @@
 		if b := tx.Bucket(proxies).Get(theKnown); err == nil && b != nil {
 			err = s.unseal("the proxies", b, &k.Known)
 		}
+		if b := tx.Bucket(proxies).Get(theLimits); err == nil && b != nil {
+			err = s.unseal("the limits", b, &k.Sentences)
+		}
 		return err
 	})
 	if err != nil {
--- a/tenancy/warden.go
+++ b/tenancy/warden.go
@@ -13,6 +13,8 @@
 	hotLoad   = 0.88 // or so busy
 	dominant  = 0.5  // of a suffering pod's time or failures: a tenant may be the cause
 	unfair    = 3.0  // and this many times its fair share of the time
+	ruinous   = 0.9  // of a tenant's tries failing, unfair times as many as those of others at its pods: it ruins what serves it
+	leastRuin = 1.0  // ops a period for that
 	patience  = 2    // periods of that before it is limited, and after that again before it is fenced
 	leave     = 2.0  // times its fair share: what a limited tenant may still use
 	forgiving = 5    // periods of good behaviour until a limit goes, or a fence; doubled with each fence
@@ -27,6 +29,10 @@
 // TryBudget is how many tries beyond the first, for each op, a proxy may spend on a tenant that is not limited.
 const TryBudget = 0.2
 
+// opsAt is its part of a running mean's ops at a pod: by the time that they took there and, as what fails at once takes none,
+// at least those that failed.
+func (t *watched) opsAt(p *[2]float64) float64 { return max(p[1], t.ops*p[0]/max(t.busy, 1e-9)) }
+
 // Use is what proxies met of a tenant at a pod over a period. Busy is the time that servers held its ops.
 type Use struct {
 	Tenant      string
@@ -46,7 +52,20 @@
 	Tenant string
 	Rate   float64 // below 0: no limit
 	Tries  float64 // tries beyond the first, for each op
-	Fenced bool    // it belongs into quarantine: a subset of pods that no other tenant uses
+	Hand   float64 // ops in hand at a time; below 0: no limit
+	Fenced bool    // it is in quarantine: one pod of its subset alone
+}
+
+// free is the limit of a tenant that is not limited.
+func free(name string) Limit { return Limit{Tenant: name, Rate: -1, Tries: TryBudget, Hand: -1} }
+
+// Free tells whether the limit is none.
+func (l Limit) Free() bool { return l.Rate < 0 && l.Hand < 0 && !l.Fenced }
+
+// Sentence is a limit with what makes the next one longer; it outlives the pilot.
+type Sentence struct {
+	Limit
+	Fences int
 }
 
 // watched is a tenant as the warden knows it.
@@ -90,7 +109,7 @@
 	for _, u := range w.fold(uses) {
 		t := w.tenants[u.Tenant]
 		if t == nil {
-			t = &watched{name: u.Tenant, pods: map[PodID]*[2]float64{}, limit: Limit{Tenant: u.Tenant, Rate: -1, Tries: TryBudget}}
+			t = &watched{name: u.Tenant, pods: map[PodID]*[2]float64{}, limit: free(u.Tenant)}
 			w.tenants[u.Tenant] = t
 		}
 		t.add(u)
@@ -102,16 +121,16 @@
 		t := w.tenants[name]
 		if before := t.limit; name != Folded {
 			cause := causes[name]
-			if w.settled < settling && before.Rate < 0 {
-				cause = 0
+			if w.settled < settling && before.Free() && !cause.ruins {
+				cause.part = 0
 			}
 			if t.judge(cause, w.period); t.limit != before {
-				if out = append(out, t.limit); t.limit.Fenced || t.limit.Rate >= 0 && before.Rate < 0 {
+				if out = append(out, t.limit); t.limit.Fenced || before.Free() {
 					w.settled = 0
 				}
 			}
 		}
-		if t.idle > forgotten && !t.limit.Fenced && t.limit.Rate < 0 {
+		if t.idle > forgotten && t.limit.Free() {
 			delete(w.tenants, name)
 		}
 	}
@@ -127,6 +146,25 @@
 	return Use{Tenant: name, Ops: t.ops, Failed: t.failed, Busy: time.Duration(t.busy * float64(time.Second))}
 }
 
+// Restore takes back what a pilot that ended had said. Its periods of good behaviour begin anew.
+func (w *Warden) Restore(kept []Sentence) {
+	for _, s := range kept {
+		if len(w.tenants) < mostKept {
+			w.tenants[s.Tenant] = &watched{name: s.Tenant, pods: map[PodID]*[2]float64{}, limit: s.Limit, fences: s.Fences}
+		}
+	}
+}
+
+// Sentences returns all limits that stand, by tenant.
+func (w *Warden) Sentences() (out []Sentence) {
+	for _, name := range slices.Sorted(maps.Keys(w.tenants)) {
+		if t := w.tenants[name]; !t.limit.Free() {
+			out = append(out, Sentence{t.limit, t.fences})
+		}
+	}
+	return out
+}
+
 // fold keeps the number of tenants within its bound: those that are kept already and the busiest of the new ones.
 func (w *Warden) fold(uses []Use) []Use {
 	fresh := map[string]time.Duration{}
@@ -176,9 +214,17 @@
 	p[1] += smoothing * min(u.Failed, u.Ops)
 }
 
+// cause is why a tenant is limited: the part of what it uses now that would be fair (0: it is no cause), and whether its ops
+// ruin what serves them, so that none of them is of use to it.
+type cause struct {
+	part  float64
+	ruins bool
+}
+
 // causes finds, for each pod that suffers, the tenant that takes most of its time or of its failures, far beyond a fair
 // share; it returns the part of what it uses now that would be fair.
-func (w *Warden) causes() map[string]float64 {
+// One whose every op fails, where others fare far better and pods suffer, is a cause whatever time it takes.
+func (w *Warden) causes() map[string]cause {
 	type pod struct{ busy, failed, ops, users float64 }
 	pods := map[PodID]*pod{}
 	for _, t := range w.tenants {
@@ -193,11 +239,22 @@
 				pods[id] = x
 			}
 			x.busy, x.failed, x.users = x.busy+p[0], x.failed+p[1], x.users+1
-			x.ops += t.ops * p[0] / max(t.busy, 1e-9)
+			x.ops += t.opsAt(p)
 		}
 	}
-	out := map[string]float64{}
+	out := map[string]cause{}
 	for name, t := range w.tenants {
+		var others, failing float64 // ops of others at its pods, and those that failed
+		sick := false
+		for id, p := range t.pods {
+			x := pods[id]
+			others, failing = others+x.ops-t.opsAt(p), failing+x.failed-p[1]
+			sick = sick || x.failed > suffers*x.ops
+		}
+		if sick && t.ops >= leastRuin && t.failed >= ruinous*t.ops && others > 0 && failing*unfair < ruinous*others {
+			out[name] = cause{part: 1 / leave / max(t.ops, 1), ruins: true}
+			continue
+		}
 		for id, p := range t.pods {
 			x := pods[id]
 			load, known := w.load[id]
@@ -206,8 +263,8 @@
 			most := p[0] > dominant*x.busy || p[1] > dominant*x.failed
 			if sick && x.users > 1 && most && p[0] > unfair*fair {
 				part := fair / p[0]
-				if old, ok := out[name]; !ok || part < old {
-					out[name] = part
+				if old, ok := out[name]; !ok || part < old.part {
+					out[name] = cause{part: part}
 				}
 			}
 		}
@@ -217,8 +274,8 @@
 
 // judge limits a tenant that goes on being the cause, fences it if the limit did not help, and forgives one that behaves,
 // later each time.
-func (t *watched) judge(part float64, period time.Duration) {
-	if part > 0 {
+func (t *watched) judge(c cause, period time.Duration) {
+	if c.part > 0 {
 		t.bad, t.good = t.bad+1, 0
 	} else {
 		t.bad, t.good = 0, t.good+1
@@ -230,15 +287,20 @@
 			t.good = 0
 		}
 		if t.good >= forgiving<<min(t.fences-1, doublings) {
-			t.limit.Fenced, t.limit.Rate, t.good = false, max(t.ops, 1)/period.Seconds(), 0
+			t.limit.Fenced, t.limit.Rate, t.limit.Hand, t.good = false, max(t.ops, 1)/period.Seconds(), -1, 0
 		}
-	case t.limit.Rate >= 0 && t.bad >= patience:
+	case !t.limit.Free() && t.bad >= patience:
 		t.limit.Fenced, t.bad = true, 0
 		t.fences++
-	case t.limit.Rate < 0 && t.bad >= patience:
-		t.limit.Rate, t.limit.Tries, t.bad = max(1, leave*part*t.ops)/period.Seconds(), 0, 0
-	case t.limit.Rate >= 0 && t.good >= forgiving:
-		t.limit.Rate, t.limit.Tries, t.good = -1, TryBudget, 0
+	case t.limit.Free() && t.bad >= patience:
+		part := leave * c.part
+		t.limit.Rate, t.limit.Tries, t.limit.Hand = max(1, part*t.ops)/period.Seconds(), 0, max(1, part*t.busy/period.Seconds())
+		if t.bad = 0; c.ruins { // nothing is gained by waiting
+			t.limit.Fenced = true
+			t.fences++
+		}
+	case !t.limit.Free() && t.good >= forgiving:
+		t.limit, t.good = free(t.name), 0
 	}
 }
 
--- a/tenancy/warden_test.go
+++ b/tenancy/warden_test.go
@@ -104,6 +104,57 @@
 	}
 }
 
+// A tenant whose ops ruin what serves them takes hardly any time; it is fenced at once when it is known. One whose own ops
+// are at fault and harm nobody is not, nor one that fails as all do where it is.
+func TestRuins(t *testing.T) {
+	poison := func(others float64) func(int, *Use) {
+		return func(i int, u *Use) {
+			if u.Failed = others; i == 7 {
+				u.Ops, u.Failed, u.Busy = 3, 3, time.Millisecond
+			}
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		play   func(int, *Use)
+		fenced bool
+	}{{"ruins", poison(2), true}, {"fails alone", poison(0), false}, {"all fail", poison(9), false}} {
+		w, limits := NewWarden(time.Second), map[string]Limit{}
+		evening(w, 4, limits, c.play, 0.5)
+		if l := limits["t7"]; l.Fenced != c.fenced || c.fenced && (l.Rate > 1 || l.Hand > 1 || l.Tries != 0) || len(limits) > 1 {
+			t.Errorf("%s: %+v", c.name, limits)
+		}
+	}
+}
+
+// What a pilot had said stands when the next run takes it back, and a fence that comes again is as long as if there had been
+// no end.
+func TestRestore(t *testing.T) {
+	w, limits := NewWarden(time.Second), map[string]Limit{}
+	bad := func(i int, u *Use) {
+		if u.Failed = 3; i == 7 {
+			u.Ops, u.Failed, u.Busy = 2000, 1500, 60*time.Second
+		}
+	}
+	evening(w, 8, limits, bad, 0.6)
+	kept := w.Sentences()
+	if len(kept) != 1 || !kept[0].Fenced || kept[0].Fences != 1 {
+		t.Fatalf("%+v", kept)
+	}
+	w = NewWarden(time.Second)
+	w.Restore(kept)
+	if got := w.Sentences(); len(got) != 1 || got[0] != kept[0] {
+		t.Errorf("%+v", got)
+	}
+	if n := evening(w, forgiving-1, limits, func(int, *Use) {}, 0.5); n != 0 {
+		t.Errorf("%d changes", n)
+	}
+	evening(w, forgiving, limits, func(int, *Use) {}, 0.5)
+	if l := limits["t7"]; l.Fenced || l.Free() {
+		t.Errorf("%+v", l)
+	}
+}
+
 // Tenants by the ten thousand, hostile names among them, are kept within bounds; those that stay away are forgotten.
 func TestManyTenants(t *testing.T) {
 	w := NewWarden(time.Second)
