Big tenants get more room; of a limited one's ops those that earn most go first

Need: a subset too small for what its tenant needs had no way out; a limit refused ops of all types alike.

Change: the warden gives a tenant that fares well and takes 0.3 of its pods' capacity half as many pods more after ten periods, up to four times, and takes them back; one that harms has none beyond its own. Allowance holds rate and ops in hand, and leaves a part to the op types of most revenue.

--- a/lab/tenants.go
+++ b/lab/tenants.go
@@ -295,6 +295,19 @@
 	HeldMean  time.Duration `json:"held_ns"`    // that a tenant was held, of the moves that ended
 	Lost      int           `json:"acked_lost"` // writes that were acked and took no effect
 	Wrong     int           `json:"wrong"`      // writes whose history is no order of one effect
+
+	Moving int `json:"wrong_moving"` // of those, of tenants that moved within ten seconds of it
+
+	Which []WrongWrite `json:"which,omitempty"` // the first of them
+}
+
+// WrongWrite is a write that took effect more or less often than it should, with where each of its tries came.
+type WrongWrite struct {
+	Tenant  string   `json:"tenant"`
+	At      string   `json:"at"`
+	Tries   []string `json:"tries"`
+	Effects []string `json:"effects"`
+	Moves   []string `json:"moves"` // the tenant's orders round that time
 }
 
 // moveAccount reads the moves off the wire and holds each write's history against the nodes' records.
@@ -339,6 +352,36 @@
 		}
 	}
 	l.HeldMean = held / time.Duration(max(1, l.Moved+l.Cancelled))
+	pod := func(id control.EndpointID) string {
+		at := h.places[id]
+		return fmt.Sprintf("%s.%d", at.zone, at.pack)
+	}
+	explain := func(o *op) {
+		w := WrongWrite{Tenant: o.whose(), At: (start + o.at).String()}
+		for _, a := range f.ledger.Arrivals() {
+			if a.Op == o.number {
+				w.Tries = append(w.Tries, fmt.Sprintf("%v try %d proxy %d pod %s", a.At, a.Try, a.Proxy, pod(a.Endpoint)))
+			}
+		}
+		for _, x := range f.ledger.Effects() {
+			if x.Op == o.number {
+				w.Effects = append(w.Effects, fmt.Sprintf("%v pod %s", x.At, pod(x.Endpoint)))
+			}
+		}
+		for k, list := range orders {
+			for _, x := range list {
+				if d := x.at - start - o.at; k.tenant == o.whose() && d > -10*time.Second && d < 10*time.Second {
+					w.Moves = append(w.Moves, fmt.Sprintf("%v %s", x.at, x.change))
+				}
+			}
+		}
+		if len(w.Moves) > 0 {
+			l.Moving++
+		}
+		if len(l.Which) < 20 {
+			l.Which = append(l.Which, w)
+		}
+	}
 	effects := map[uint64][]time.Duration{}
 	for _, x := range f.ledger.Effects() {
 		effects[x.Op] = append(effects[x.Op], x.At)
@@ -356,6 +399,7 @@
 		}
 		if !onceInOrder(o, effects[o.number], start) {
 			l.Wrong++
+			explain(o)
 		}
 	}
 	return l
@@ -401,5 +445,8 @@
 func (l *MoveLine) print(w io.Writer) {
 	fmt.Fprintf(w, "moves: %d asked (%d not taken), %d moved, %d cancelled, writes held for %v each; %d ops were told to come back\n",
 		l.Asked, l.Untaken, l.Moved, l.Cancelled, l.HeldMean.Round(time.Millisecond), l.Held)
-	fmt.Fprintf(w, "writes: %d acked without an effect, %d whose history is not that of one effect\n", l.Lost, l.Wrong)
+	for _, x := range l.Which {
+		fmt.Fprintf(w, "  wrong: %s at %s: tries %q, effects %q, orders %q\n", x.Tenant, x.At, x.Tries, x.Effects, x.Moves)
+	}
+	fmt.Fprintf(w, "writes: %d acked without an effect, %d whose history is not that of one effect, %d of those of tenants that moved then\n", l.Lost, l.Wrong, l.Moving)
 }
--- a/pilot/book_test.go
+++ b/pilot/book_test.go
@@ -149,17 +149,17 @@
 	b.join(1, nil, false, 0)
 	b.join(2, nil, false, 0)
 	b.write([]control.Order{control.Checkpoint{Number: 1, All: true}})
-	limit := runtime.Change{Verb: runtime.SetTenant, Tenant: "delo", Rate: 8, Hand: 6, Fenced: true}
-	if got := text(b.limit([]runtime.Change{limit})); got != "p1 #2 4; set tenant =delo rate 4 tries 0 fence on hand 3\np2 #2 4; set tenant =delo rate 4 tries 0 fence on hand 3" {
+	limit := runtime.Change{Verb: runtime.SetTenant, Tenant: "delo", Rate: 8, Hand: 6, Fenced: true, Room: 1}
+	if got := text(b.limit([]runtime.Change{limit})); got != "p1 #2 4; set tenant =delo rate 4 tries 0 fence on hand 3 room 1\np2 #2 4; set tenant =delo rate 4 tries 0 fence on hand 3 room 1" {
 		t.Error(got)
 	}
 	b.join(3, nil, false, 0)
 	got, _ := b.write([]control.Order{control.Checkpoint{Number: 2, All: true}})
-	if s := text(got); !strings.HasSuffix(s, "p3 #1 5 ?2; set tenant =delo rate 2.6666666666666665 tries 0 fence on hand 2") {
+	if s := text(got); !strings.HasSuffix(s, "p3 #1 5 ?2; set tenant =delo rate 2.6666666666666665 tries 0 fence on hand 2 room 1") {
 		t.Error(s)
 	}
 	limit.Rate, limit.Hand, limit.Fenced, limit.Tries = -1, -1, false, 0.2
-	if got := text(b.limit([]runtime.Change{limit})); strings.Count(got, "set tenant =delo rate * tries 0.2 fence off hand *") != 3 {
+	if got := text(b.limit([]runtime.Change{limit})); strings.Count(got, "set tenant =delo rate * tries 0.2 fence off hand * room 1") != 3 {
 		t.Error(got)
 	}
 	b.join(4, nil, false, 0)
--- a/pilot/moves.go
+++ b/pilot/moves.go
@@ -412,11 +412,11 @@
 		names = []string{runtime.TenantName(words[2])}
 	}
 	slices.Sort(names)
-	fmt.Fprintln(w, "# tenant,rate,tries,hand,fenced,seat,phase,number,ops_s,failed_s,busy_s,")
+	fmt.Fprintln(w, "# tenant,rate,tries,hand,fenced,room,seat,phase,number,ops_s,failed_s,busy_s,")
 	for _, name := range slices.Compact(names) {
 		c, limited := limits[name]
 		if !limited {
-			c.Rate, c.Tries, c.Hand = -1, tenancy.TryBudget, -1
+			c.Rate, c.Tries, c.Hand, c.Room = -1, tenancy.TryBudget, -1, 1
 		}
 		r := tenancy.Record{}
 		if p.mover != nil {
@@ -427,7 +427,7 @@
 			u = p.warden.Met(name)
 		}
 		per := p.facts.ReportEvery.Seconds()
-		fmt.Fprintf(w, "%s,%g,%g,%g,%t,%s,%s,%d,%.3g,%.3g,%.3g,\n", runtime.Quote("="+name), c.Rate, c.Tries, c.Hand, c.Fenced, r.Seat, r.Phase, r.Number,
+		fmt.Fprintf(w, "%s,%g,%g,%g,%t,%g,%s,%s,%d,%.3g,%.3g,%.3g,\n", runtime.Quote("="+name), c.Rate, c.Tries, c.Hand, c.Fenced, c.Room, r.Seat, r.Phase, r.Number,
 			u.Ops/per, u.Failed/per, u.Busy.Seconds()/per)
 	}
 	return nil
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -288,7 +288,7 @@
 		p.warden = tenancy.NewWarden(p.facts.ReportEvery)
 		p.warden.Restore(kept)
 		for _, s := range kept {
-			p.book.limits[s.Tenant] = runtime.Change{Verb: runtime.SetTenant, Tenant: s.Tenant, Rate: s.Rate, Tries: s.Tries, Hand: s.Hand, Fenced: s.Fenced}
+			p.book.limits[s.Tenant] = runtime.Change{Verb: runtime.SetTenant, Tenant: s.Tenant, Rate: s.Rate, Tries: s.Tries, Hand: s.Hand, Fenced: s.Fenced, Room: s.Room}
 		}
 	}
 	p.sessions, p.numbers = map[control.ProxyID]*session{}, map[control.ProxyID]uint64{}
@@ -410,7 +410,7 @@
 	limits := p.warden.Step(p.uses, p.podLoads())
 	p.uses = nil
 	for _, l := range limits {
-		p.log.Warn("a tenant's limit changed", "tenant", l.Tenant, "rate", l.Rate, "hand", l.Hand, "fenced", l.Fenced)
+		p.log.Warn("a tenant's limit changed", "tenant", l.Tenant, "rate", l.Rate, "hand", l.Hand, "fenced", l.Fenced, "room", l.Room)
 	}
 	if len(limits) > 0 {
 		if p.mover != nil {
@@ -424,7 +424,7 @@
 func (p *Pilot) sendLimits(limits []tenancy.Limit) {
 	var changes []runtime.Change
 	for _, l := range limits {
-		changes = append(changes, runtime.Change{Verb: runtime.SetTenant, Tenant: l.Tenant, Rate: l.Rate, Tries: l.Tries, Hand: l.Hand, Fenced: l.Fenced})
+		changes = append(changes, runtime.Change{Verb: runtime.SetTenant, Tenant: l.Tenant, Rate: l.Rate, Tries: l.Tries, Hand: l.Hand, Fenced: l.Fenced, Room: l.Room})
 	}
 	p.queue(p.now(), p.book.limit(changes))
 	p.pump()
--- a/proxy/admin.go
+++ b/proxy/admin.go
@@ -75,17 +75,17 @@
 	if len(c.Words) > 2 {
 		names = map[string]bool{runtime.TenantName(c.Words[2]): true}
 	}
-	fmt.Fprintln(w, "# tenant,rate,fenced,seat,number,writes,")
+	fmt.Fprintln(w, "# tenant,rate,hand,fenced,room,seat,number,writes,")
 	for _, name := range slices.Sorted(maps.Keys(names)) {
 		l, limited := t.limits[name]
 		if !limited {
-			l.rate = -1
+			l = unlimited
 		}
 		b, writes := t.bindings.of[name], "open"
 		if _, bound := t.bindings.of[name]; bound && !b.Writes(now, t.bindings.wait) {
 			writes = "held"
 		}
-		fmt.Fprintf(w, "%s,%g,%t,%s,%d,%s,\n", runtime.Quote("="+name), l.rate, l.fenced, b.Seat, b.Number, writes)
+		fmt.Fprintf(w, "%s,%g,%g,%t,%g,%s,%d,%s,\n", runtime.Quote("="+name), l.rate, l.hand, l.fenced, l.room, b.Seat, b.Number, writes)
 	}
 	return nil
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -70,6 +70,7 @@
 	credit  float64 // of what may be let in
 	ops     atomic.Int64
 	unacked atomic.Int64
+	rank    float64 // by revenue: 0 for the least, 1 for the most
 }
 
 // New makes a proxy from its file; Start runs it.
@@ -95,6 +96,18 @@
 	pool := file.Pool
 	p.pool = &upstream.Pool{PerServer: pool.PerServer, IdleClose: pool.IdleClose.Span(),
 		ConnectTimeout: pool.ConnectTimeout.Span()}
+	for i := range p.types {
+		below := 0
+		for j := range p.types {
+			if p.types[j].Revenue < p.types[i].Revenue {
+				below++
+			}
+		}
+		p.types[i].rank = 1
+		if least := len(p.types) - 1; below < least && p.types[i].Revenue < p.mostRevenue() {
+			p.types[i].rank = float64(below) / float64(least)
+		}
+	}
 	lines, err := p.drawStanding()
 	if err != nil {
 		return nil, err
@@ -114,6 +127,14 @@
 	return p, nil
 }
 
+// mostRevenue is what the op type that earns most earns.
+func (p *Proxy) mostRevenue() (most float64) {
+	for i := range p.types {
+		most = max(most, p.types[i].Revenue)
+	}
+	return most
+}
+
 // drawStanding draws the table that the proxy starts with: from the servers of its zone if at least three are there.
 func (p *Proxy) drawStanding() ([]line, error) {
 	var own, all []files.StandingServer
@@ -250,11 +271,13 @@
 		return
 	}
 	whose := p.tenants.of(c, m)
-	allowed, limited := limit{}, false
+	allowed := unlimited
 	if whose != nil {
-		allowed, limited = now.limits[whose.name]
+		if l, ok := now.limits[whose.name]; ok {
+			allowed = l
+		}
 	}
-	if !whose.admit(allowed, limited, arrived) {
+	if !whose.admit(allowed, t.rank, arrived.Sub(p.started)) {
 		p.tally.rejected.Add(1)
 		p.answer(c, s, 503, "over the tenant's limit", p.retryAfter())
 		return
@@ -277,8 +300,8 @@
 	var last *upstream.Failure
 	for {
 		begin := time.Now()
-		subset := p.tenants.subset(whose, now.byType[i], now.bindings, allowed.fenced, begin.Sub(p.started))
-		e, borrowed := p.tenants.pickOf(whose, now.byType[i], subset, limited, t.Repeat != control.Retryable, begin.Sub(p.started), now.bindings.wait,
+		subset := p.tenants.subset(whose, now.byType[i], now.bindings, allowed, begin.Sub(p.started))
+		e, borrowed := p.tenants.pickOf(whose, now.byType[i], subset, allowed.limited(), t.Repeat != control.Retryable, begin.Sub(p.started), now.bindings.wait,
 			func(subset []tenancy.PodID) *server {
 				return now.pickFor(i, begin, func(e *server) bool {
 					return (subset == nil || slices.Contains(subset, e.pod())) && (!t.OwnZoneOnly || e.Zone == p.zone) && !slices.Contains(tried, e) && state.at(e.Server, begin)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -543,7 +543,7 @@
 		t.Fatal(err)
 	}
 	who := &tenant{name: "delo", account: &account{}}
-	subset := x.subset(who, tab.byType[0], tab.bindings, false, 0)
+	subset := x.subset(who, tab.byType[0], tab.bindings, unlimited, 0)
 	if len(subset) != 2 {
 		t.Fatalf("%v", subset)
 	}
@@ -559,20 +559,20 @@
 		out = append(out, fmt.Sprintf("set server */e%d state drain", id))
 	}
 	sick, err := tab.apply(message(2, out...), s, 1, rng())
-	if err != nil || !slices.Equal(x.subset(who, sick.byType[0], sick.bindings, false, 0), subset) {
+	if err != nil || !slices.Equal(x.subset(who, sick.byType[0], sick.bindings, unlimited, 0), subset) {
 		t.Errorf("a tenant whose servers are withdrawn was handed others: %v", err)
 	}
-	if (*tenants)(nil).subset(who, tab.byType[0], tab.bindings, false, 0) != nil || (*tenants)(nil).of(nil, nil) != nil || !(*tenant)(nil).try() {
+	if (*tenants)(nil).subset(who, tab.byType[0], tab.bindings, unlimited, 0) != nil || (*tenants)(nil).of(nil, nil) != nil || !(*tenant)(nil).try() {
 		t.Error("without tenants nothing is bound")
 	}
-	limited, err := tab.apply(message(2, "set tenant =delo rate 2 tries 0 fence on hand *"), s, 1, rng())
-	if err != nil || len(limited.limits) != 1 || len(x.subset(who, limited.byType[0], limited.bindings, true, 0)) != 1 {
+	limited, err := tab.apply(message(2, "set tenant =delo rate 2 tries 0 fence on hand * room 1"), s, 1, rng())
+	if err != nil || len(limited.limits) != 1 || len(x.subset(who, limited.byType[0], limited.bindings, limited.limits["delo"], 0)) != 1 {
 		t.Fatal(err)
 	}
-	begin, in := time.Now(), 0
-	who.admit(limit{}, false, begin)
+	in := 0
+	who.admit(unlimited, 1, 0)
 	for i := range 100 { // ten seconds of ten ops each
-		if l, ok := limited.limits["delo"]; who.admit(l, ok, begin.Add(time.Duration(i)*100*time.Millisecond)) {
+		if who.admit(limited.limits["delo"], 1, time.Duration(i)*100*time.Millisecond) {
 			in++
 			who.done()
 		}
@@ -580,17 +580,21 @@
 	if in < 19 || in > 22 {
 		t.Errorf("%d ops let in over ten seconds at two a second", in)
 	}
-	handful, err := tab.apply(message(2, "set tenant =delo rate * tries 0 fence off hand 2.5"), s, 1, rng())
+	handful, err := tab.apply(message(2, "set tenant =delo rate * tries 0 fence off hand 2.5 room 1"), s, 1, rng())
 	if err != nil || len(handful.limits) != 1 {
 		t.Fatal(err)
 	}
 	who.done() // of the first above
 	for n := range 6 {
-		if who.admit(handful.limits["delo"], true, begin) != (n < 3) {
+		if who.admit(handful.limits["delo"], 1, 0) != (n < 3) {
 			t.Errorf("%d ops in hand beside another", n)
 		}
 	}
-	if free, err := limited.apply(message(3, "set tenant =delo rate * tries 0.2 fence off hand *"), s, 1, rng()); err != nil || len(free.limits) != 0 {
+	roomy, err := tab.apply(message(2, "set tenant =delo rate * tries 0.2 fence off hand * room 1.5"), s, 1, rng())
+	if err != nil || len(x.subset(who, roomy.byType[0], roomy.bindings, roomy.limits["delo"], 0)) != 3 || roomy.limits["delo"].limited() {
+		t.Errorf("room for half as many pods more: %v, %v", roomy, err)
+	}
+	if free, err := limited.apply(message(3, "set tenant =delo rate * tries 0.2 fence off hand * room 1"), s, 1, rng()); err != nil || len(free.limits) != 0 {
 		t.Error("a limit that does not go", err)
 	}
 	breaks := origin(t, func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) })
@@ -669,17 +673,48 @@
 	for i := 0; newcomer == ""; i++ {
 		x := &tenant{name: fmt.Sprint("n", i), account: &account{}}
 		table := p.now.Load()
-		if s := p.tenants.subset(x, table.byType[1], table.bindings, false, 0); s[0] == tenancy.PodID(home) {
+		if s := p.tenants.subset(x, table.byType[1], table.bindings, unlimited, 0); s[0] == tenancy.PodID(home) {
 			newcomer = x.name
 		}
 	}
 	if status := get(newcomer); status != 503 {
 		t.Errorf("one that nobody knows borrowed: %d", status)
 	}
-	if err := p.apply(message(1, "set tenant =delo rate 1000 tries 0 fence off hand *")); err != nil {
+	if err := p.apply(message(1, "set tenant =delo rate 1000 tries 0 fence off hand * room 1")); err != nil {
 		t.Fatal(err)
 	}
 	if status := get("delo"); status != 503 {
 		t.Errorf("one that is limited borrowed: %d", status)
 	}
 }
+
+// Ten thousand tenants that come at once are kept within bounds, whatever their names; those beyond share one account, which
+// cannot borrow.
+func TestTenThousand(t *testing.T) {
+	x, err := newTenants(&files.Tenants{Header: "Newsroom", Subset: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all sync.WaitGroup
+	for i := range 100 {
+		all.Go(func() {
+			for j := range 100 {
+				who := x.named(fmt.Sprintf("newsroom %d;\x00\n%d", i, j))
+				who.admit(unlimited, 1, 0)
+				x.met(who, &server{id: 1, Server: runtime.Server{Zone: j % 3, Pack: i}}, false, time.Millisecond)
+				who.done()
+			}
+		})
+	}
+	all.Wait()
+	x.mu.Lock()
+	known := len(x.known)
+	x.mu.Unlock()
+	if sums := x.take(); known > mostTenants+1 || len(sums) > mostSums+300 {
+		t.Errorf("%d kept, %d sums", known, len(sums))
+	}
+	late := x.named("one more")
+	if !late.shared || late.name != "one more" {
+		t.Errorf("%+v", late)
+	}
+}
--- a/proxy/tables.go
+++ b/proxy/tables.go
@@ -234,7 +234,7 @@
 			if n.limits == nil {
 				n.limits = map[string]limit{}
 			}
-			if n.limits[c.Tenant] = (limit{c.Rate, c.Tries, c.Hand, c.Fenced}); c.Rate < 0 && c.Hand < 0 && !c.Fenced {
+			if n.limits[c.Tenant] = (limit{c.Rate, c.Tries, c.Hand, c.Room, c.Fenced}); c.Rate < 0 && c.Hand < 0 && !c.Fenced && c.Room <= 1 {
 				delete(n.limits, c.Tenant)
 			}
 		case runtime.ClearState:
--- a/proxy/tenants.go
+++ b/proxy/tenants.go
@@ -36,9 +36,16 @@
 	rate   float64
 	tries  float64
 	hand   float64 // ops at a time; below 0: no limit
+	room   float64 // times the pods of its subset
 	fenced bool
 }
 
+// limited tells whether the tenant may use less than others.
+func (l limit) limited() bool { return l.rate >= 0 || l.hand >= 0 || l.fenced }
+
+// unlimited is the limit of tenants of which the pilot says nothing.
+var unlimited = limit{-1, tenancy.TryBudget, -1, 1, false}
+
 // tenant is one that sent ops lately.
 type tenant struct {
 	name   string
@@ -52,9 +59,8 @@
 	budget tenancy.Budget
 	credit tenancy.Credit
 	lent   tenancy.Lent
-	tokens float64 // ops that it may send now, where its rate is limited
-	hand   int     // ops in hand
-	last   time.Time
+
+	allowance tenancy.Allowance
 }
 
 // Bounds of what is kept of tenants; those beyond share one account of tries, and their subsets are drawn each time.
@@ -85,7 +91,11 @@
 	if at, err := netip.ParseAddrPort(c.Remote()); err == nil {
 		client = at.Addr()
 	}
-	name := t.match.Of(field, m.Target, client)
+	return t.named(t.match.Of(field, m.Target, client))
+}
+
+// named returns the record of a tenant.
+func (t *tenants) named(name string) *tenant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	x := t.known[name]
@@ -106,41 +116,21 @@
 }
 
 // admit earns an op's share of a try and tells whether a tenant's limit lets the op in; one that is in is in hand until done.
-func (x *tenant) admit(l limit, limited bool, now time.Time) bool {
+func (x *tenant) admit(l limit, rank float64, now time.Duration) bool {
 	if x == nil {
 		return true
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if !limited {
-		x.budget.Op(tenancy.TryBudget)
-		x.tokens, x.last = 1, now
-		x.hand++
-		return true
-	}
 	x.budget.Op(l.tries)
-	if l.hand >= 0 && float64(x.hand) >= max(1, l.hand) {
-		return false
-	}
-	if l.rate < 0 {
-		x.hand++
-		return true
-	}
-	x.tokens = min(x.tokens+l.rate*now.Sub(x.last).Seconds(), max(1, l.rate))
-	x.last = now
-	if x.tokens < 1 {
-		return false
-	}
-	x.tokens--
-	x.hand++
-	return true
+	return x.allowance.Admit(now, l.rate, l.hand, rank)
 }
 
 // done takes an op out of hand.
 func (x *tenant) done() {
 	if x != nil {
 		x.mu.Lock()
-		x.hand--
+		x.allowance.Done()
 		x.mu.Unlock()
 	}
 }
@@ -169,8 +159,9 @@
 
 // drawnAt is a tenant's subset for a seat.
 type drawnAt struct {
-	seat tenancy.Seat
-	pods []tenancy.PodID
+	seat  tenancy.Seat
+	count int
+	pods  []tenancy.PodID
 }
 
 // drawnAfter returns what is drawn among for a table's new lines: the same where its servers are the same.
@@ -193,7 +184,7 @@
 
 // subset returns the pods that a tenant may use of a table; nil for all. It is drawn from the pods with a line, withdrawn
 // or not, and those that lost theirs lately: a tenant that makes its servers sick must not be handed others.
-func (t *tenants) subset(x *tenant, table *table, b *bindings, fenced bool, now time.Duration) []tenancy.PodID {
+func (t *tenants) subset(x *tenant, table *table, b *bindings, l limit, now time.Duration) []tenancy.PodID {
 	if t == nil || len(table.lines) == 0 {
 		return nil
 	}
@@ -212,14 +203,21 @@
 		}
 		d.holds = holds
 	}
+	count := t.count
+	if seat.Size > 0 {
+		count = seat.Size
+	}
+	if count > 1 { // one alone stays one: a second would not know what the first has written
+		count = int(math.Ceil(float64(count) * l.room))
+	}
 	s, ok := d.of[x.name]
-	if !ok || !s.seat.Equal(seat) {
-		s = drawnAt{seat, seat.Among(x.name, d.among, t.count)}
+	if !ok || s.count != count || !s.seat.Equal(seat) {
+		s = drawnAt{seat, count, tenancy.Seat{Draw: seat.Draw, Size: count, Pods: seat.Pods}.Among(x.name, d.among, count)}
 		if ok || len(d.of) < mostDrawn {
 			d.of[x.name] = s
 		}
 	}
-	if fenced && len(s.pods) > 1 {
+	if l.fenced && len(s.pods) > 1 {
 		return s.pods[:1]
 	}
 	return s.pods
--- a/runtime/change.go
+++ b/runtime/change.go
@@ -46,6 +46,7 @@
 	Tries    float64 // beyond the first, for each op
 	Fenced   bool    // to one pod of its subset alone
 	Hand     float64 // ops in hand at this proxy at a time; below 0: no limit
+	Room     float64 // times the pods that its subset has by itself
 	Number   uint64  // of a binding, among those of its pilot
 	Seat     tenancy.Seat
 	Held     bool // writes are refused with a time to come back
@@ -107,6 +108,7 @@
 		} else {
 			b = number(b, c.Hand)
 		}
+		b = number(append(b, " room "...), c.Room)
 	case SetBinding:
 		b = append(append(b, "set binding "...), Quote("="+c.Tenant)...)
 		b = strconv.AppendUint(append(b, " number "...), c.Number, 10)
@@ -206,6 +208,10 @@
 		}
 		c.Fenced = w.onOff("fence")
 		c.Hand = w.bound("hand")
+		w.expect("room")
+		if c.Room = w.float("room"); c.Room < 1 || c.Room > mostPods {
+			w.fail("room %v is not from 1 to %d", c.Room, mostPods)
+		}
 	case "set binding":
 		c.Verb, c.Tenant = SetBinding, w.tenant()
 		w.expect("number")
--- /dev/null
+++ b/tenancy/bench_test.go
@@ -0,0 +1,56 @@
+package tenancy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A period of ten thousand tenants, each at three pods.
+func BenchmarkWarden(b *testing.B) {
+	w := NewWarden(time.Second)
+	var uses []Use
+	for i := range 10_000 {
+		for p := range 3 {
+			uses = append(uses, Use{Tenant: fmt.Sprint("newsroom-", i), Pod: PodID((i*7 + p*31) % 150), Ops: 3, Busy: time.Duration(i) * time.Millisecond})
+		}
+	}
+	var health []Health
+	for p := range PodID(150) {
+		health = append(health, Health{p, 0.5})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		w.Step(uses, health)
+	}
+}
+
+// A proxy joins a pilot that has moved ten thousand tenants.
+func BenchmarkJoin(b *testing.B) {
+	for _, has := range []bool{false, true} {
+		b.Run(fmt.Sprintf("knows %t", has), func(b *testing.B) {
+			m := NewMover(Waits{Most: time.Hour}, 1, nil, nil)
+			for i := range 10_000 {
+				m.Step(0, Event{Ask: &Ask{Tenant: fmt.Sprint("newsroom-", i), To: Seat{Draw: 1}}})
+			}
+			m.Step(time.Second)
+			number := uint64(0)
+			if has {
+				number = m.number
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				m.Step(time.Minute, Event{Joined: &Joined{Proxy: 1, Has: number}})
+			}
+		})
+	}
+}
+
+// A tenant's subset among a table's 36 pods.
+func BenchmarkPlace(b *testing.B) {
+	pods := somePods(36)
+	b.ReportAllocs()
+	for b.Loop() {
+		Place("newsroom-4711", pods, 3)
+	}
+}
--- a/tenancy/warden.go
+++ b/tenancy/warden.go
@@ -17,6 +17,10 @@
 	leastRuin = 1.0  // ops a period for that
 	patience  = 2    // periods of that before it is limited, and after that again before it is fenced
 	leave     = 2.0  // times its fair share: what a limited tenant may still use
+	crowds    = 0.3  // of its pods' capacity taken by one tenant: it needs more of them; a third of that: fewer would do
+	asking    = 10   // periods of that before it gets some
+	roomStep  = 1.5  // times as many
+	mostRoom  = 4.0  // at most
 	forgiving = 5    // periods of good behaviour until a limit goes, or a fence; doubled with each fence
 	doublings = 6    // at most
 	smoothing = 0.5  // the newest sums' part in a running mean
@@ -54,13 +58,19 @@
 	Tries  float64 // tries beyond the first, for each op
 	Hand   float64 // ops in hand at a time; below 0: no limit
 	Fenced bool    // it is in quarantine: one pod of its subset alone
+	Room   float64 // times the pods that its subset has by itself, as it needs more than those can well do; 1: none beyond
 }
 
 // free is the limit of a tenant that is not limited.
-func free(name string) Limit { return Limit{Tenant: name, Rate: -1, Tries: TryBudget, Hand: -1} }
+func free(name string) Limit {
+	return Limit{Tenant: name, Rate: -1, Tries: TryBudget, Hand: -1, Room: 1}
+}
+
+// Free tells whether it says nothing: no limit, no room beyond the usual.
+func (l Limit) Free() bool { return !l.Limited() && l.Room <= 1 }
 
-// Free tells whether the limit is none.
-func (l Limit) Free() bool { return l.Rate < 0 && l.Hand < 0 && !l.Fenced }
+// Limited tells whether the tenant may use less than others.
+func (l Limit) Limited() bool { return l.Rate >= 0 || l.Hand >= 0 || l.Fenced }
 
 // Sentence is a limit with what makes the next one longer; it outlives the pilot.
 type Sentence struct {
@@ -78,8 +88,10 @@
 	bad    int                   // periods in a row in which it looked like the cause
 	good   int
 	fences int
-	limit  Limit
-	idle   int
+
+	crowded, roomy int // periods in a row in which its pods were too few for it, or too many
+	limit          Limit
+	idle           int
 }
 
 // Warden finds the tenants that harm others and says what they may still use.
@@ -115,19 +127,20 @@
 		t.add(u)
 	}
 	var out []Limit
-	causes := w.causes()
+	causes, own := w.causes()
 	w.settled++
 	for _, name := range slices.Sorted(maps.Keys(w.tenants)) {
 		t := w.tenants[name]
 		if before := t.limit; name != Folded {
 			cause := causes[name]
-			if w.settled < settling && before.Free() && !cause.ruins {
+			if w.settled < settling && !before.Limited() && !cause.ruins {
 				cause.part = 0
 			}
-			if t.judge(cause, w.period); t.limit != before {
-				if out = append(out, t.limit); t.limit.Fenced || before.Free() {
-					w.settled = 0
-				}
+			if t.judge(cause, w.period); t.limit.Limited() && t.limit != before && (t.limit.Fenced || !before.Limited()) {
+				w.settled = 0
+			}
+			if t.house(own[name], cause); t.limit != before {
+				out = append(out, t.limit)
 			}
 		}
 		if t.idle > forgotten && t.limit.Free() {
@@ -224,7 +237,8 @@
 // causes finds, for each pod that suffers, the tenant that takes most of its time or of its failures, far beyond a fair
 // share; it returns the part of what it uses now that would be fair.
 // One whose every op fails, where others fare far better and pods suffer, is a cause whatever time it takes.
-func (w *Warden) causes() map[string]cause {
+// It returns too what part of its pods' capacity each tenant takes.
+func (w *Warden) causes() (map[string]cause, map[string]float64) {
 	type pod struct{ busy, failed, ops, users float64 }
 	pods := map[PodID]*pod{}
 	for _, t := range w.tenants {
@@ -242,8 +256,13 @@
 			x.ops += t.opsAt(p)
 		}
 	}
-	out := map[string]cause{}
+	out, own := map[string]cause{}, map[string]float64{}
 	for name, t := range w.tenants {
+		for id, p := range t.pods {
+			if load, known := w.load[id]; known && t.busy > 0 {
+				own[name] += p[0] / t.busy * load * p[0] / max(pods[id].busy, 1e-9)
+			}
+		}
 		var others, failing float64 // ops of others at its pods, and those that failed
 		sick := false
 		for id, p := range t.pods {
@@ -269,7 +288,32 @@
 			}
 		}
 	}
-	return out
+	return out, own
+}
+
+// house gives a tenant that needs more than its pods can well do more of them, slowly, and takes them back more slowly. One
+// that is limited, is a cause or whose ops fail has none beyond its own: what it ruins is not to be more.
+func (t *watched) house(own float64, c cause) {
+	switch {
+	case t.limit.Limited():
+		t.limit.Room, t.crowded, t.roomy = 1, 0, 0
+		return
+	case c.part > 0 || t.failed > suffers*t.ops:
+		t.crowded = 0
+		return
+	case own >= crowds:
+		t.crowded, t.roomy = t.crowded+1, 0
+	case own <= crowds/3:
+		t.crowded, t.roomy = 0, t.roomy+1
+	default:
+		t.crowded, t.roomy = 0, 0
+	}
+	if t.crowded >= asking && t.limit.Room < mostRoom {
+		t.limit.Room, t.crowded = min(mostRoom, t.limit.Room*roomStep), 0
+	}
+	if t.roomy >= asking*doublings && t.limit.Room > 1 {
+		t.limit.Room, t.roomy = max(1, t.limit.Room/roomStep), 0
+	}
 }
 
 // judge limits a tenant that goes on being the cause, fences it if the limit did not help, and forgives one that behaves,
@@ -289,17 +333,17 @@
 		if t.good >= forgiving<<min(t.fences-1, doublings) {
 			t.limit.Fenced, t.limit.Rate, t.limit.Hand, t.good = false, max(t.ops, 1)/period.Seconds(), -1, 0
 		}
-	case !t.limit.Free() && t.bad >= patience:
+	case t.limit.Limited() && t.bad >= patience:
 		t.limit.Fenced, t.bad = true, 0
 		t.fences++
-	case t.limit.Free() && t.bad >= patience:
+	case t.bad >= patience:
 		part := leave * c.part
 		t.limit.Rate, t.limit.Tries, t.limit.Hand = max(1, part*t.ops)/period.Seconds(), 0, max(1, part*t.busy/period.Seconds())
 		if t.bad = 0; c.ruins { // nothing is gained by waiting
 			t.limit.Fenced = true
 			t.fences++
 		}
-	case !t.limit.Free() && t.good >= forgiving:
+	case t.limit.Limited() && t.good >= forgiving:
 		t.limit, t.good = free(t.name), 0
 	}
 }
@@ -319,3 +363,42 @@
 	b.left--
 	return true
 }
+
+// Allowance is a proxy's account of what a limited tenant may still use: ops by their rate and those in hand. Where not all
+// can go, those that earn most go first: the others leave a part of it to them.
+type Allowance struct {
+	tokens float64
+	last   time.Duration
+	hand   int
+}
+
+// kept is the part of an allowance that ops of the least revenue leave to those of the most; mostSaved how many ops' worth a
+// slow tenant may save up.
+const (
+	kept      = 0.5
+	mostSaved = 2.0
+)
+
+// Admit tells whether an op may go and takes it in hand; rank is from 0 for the op type that earns least to 1 for the one
+// that earns most. Below 0 a limit is none.
+func (a *Allowance) Admit(now time.Duration, rate, hand, rank float64) bool {
+	if hand >= 0 && float64(a.hand) >= max(1, hand*(1-kept*(1-rank))) {
+		return false
+	}
+	if rate >= 0 {
+		most := max(mostSaved, rate)
+		a.tokens = min(most, a.tokens+rate*(now-a.last).Seconds())
+		a.last = now
+		if a.tokens < 1+(1-rank)*kept*most {
+			return false
+		}
+		a.tokens--
+	} else {
+		a.tokens, a.last = 1, now
+	}
+	a.hand++
+	return true
+}
+
+// Done takes an op out of hand.
+func (a *Allowance) Done() { a.hand-- }
--- a/tenancy/warden_test.go
+++ b/tenancy/warden_test.go
@@ -127,6 +127,43 @@
 	}
 }
 
+// A big tenant that fares well gets more pods, slowly and up to a bound, and gives them back when it is small again; one
+// that harms has none beyond its own.
+func TestRoom(t *testing.T) {
+	big := func(i int, u *Use) {
+		if i == 7 {
+			u.Ops, u.Busy = 1000, 20*time.Second
+		}
+	}
+	w, limits := NewWarden(time.Second), map[string]Limit{}
+	evening(w, asking-1, limits, big, 0.7)
+	if len(limits) != 0 {
+		t.Errorf("%+v", limits)
+	}
+	evening(w, 1, limits, big, 0.7)
+	if l := limits["t7"]; l.Room != roomStep || l.Limited() || len(limits) != 1 {
+		t.Errorf("%+v", limits)
+	}
+	evening(w, 20*asking, limits, big, 0.7)
+	if l := limits["t7"]; l.Room != mostRoom {
+		t.Errorf("%+v", l)
+	}
+	evening(w, 2, limits, func(i int, u *Use) {
+		if big(i, u); i == 7 {
+			u.Failed = 500
+		}
+	}, 0.95)
+	if l := limits["t7"]; !l.Limited() || l.Room != 1 {
+		t.Errorf("%+v", l)
+	}
+	w, limits = NewWarden(time.Second), map[string]Limit{}
+	evening(w, 2*asking, limits, big, 0.7)
+	evening(w, 3*asking*doublings, limits, func(int, *Use) {}, 0.5)
+	if l := limits["t7"]; !l.Free() {
+		t.Errorf("%+v", l)
+	}
+}
+
 // What a pilot had said stands when the next run takes it back, and a fence that comes again is as long as if there had been
 // no end.
 func TestRestore(t *testing.T) {
@@ -177,6 +214,59 @@
 	}
 }
 
+// Of a limited tenant's ops those that earn most go first, and none of them is starved by the others; what is in hand is
+// counted whatever the limit was when it came.
+func TestAllowance(t *testing.T) {
+	for _, rate := range []float64{0.5, 2, 50} {
+		var a Allowance
+		got := [2]int{}
+		for i := range 20000 { // ten times the rate, both types alike
+			rank := i % 2
+			if a.Admit(time.Duration(float64(i)/rate/10*float64(time.Second)), rate, -1, float64(rank)) {
+				got[rank]++
+				a.Done()
+			}
+		}
+		if got[1] < 9*got[0] || got[0]+got[1] < 1900 || got[0]+got[1] > 2100 {
+			t.Errorf("rate %v: %v let in", rate, got)
+		}
+		got = [2]int{}
+		for i := range 1000 { // half the rate: all go
+			if a.Admit(time.Duration(1e6+float64(i)/rate*2)*time.Second, rate, -1, 0) {
+				got[0]++
+				a.Done()
+			}
+		}
+		if got[0] < 990 {
+			t.Errorf("rate %v: %v of 1000 of the least", rate, got[0])
+		}
+	}
+	var a Allowance
+	in := 0
+	for range 10 {
+		if a.Admit(0, -1, 4, 0) {
+			in++
+		}
+	}
+	for range 10 {
+		if a.Admit(0, -1, 4, 1) {
+			in += 10
+		}
+	}
+	if in != 22 {
+		t.Errorf("%d", in)
+	}
+	if !a.Admit(0, -1, -1, 0) || a.hand != 5 {
+		t.Errorf("%+v", a)
+	}
+	for range 5 {
+		a.Done()
+	}
+	if !a.Admit(0, -1, 0, 0) || a.Admit(0, -1, 0, 1) {
+		t.Error("one is always let in, and no second")
+	}
+}
+
 // Tries are a share of a tenant's ops: many ops earn a burst, a tenant whose every op fails has few.
 func TestBudget(t *testing.T) {
 	var b Budget
