Decisions as records with their reasons; vetchdoor log reads an evening back

Need: what a pilot ordered was told by counters alone, and nowhere why.

Change: control's orders bear a reason with the figure and the limit it crossed, from the module; decisions stay as they are.

--- a/cmd/vetchdoor/daemons.go
+++ b/cmd/vetchdoor/daemons.go
@@ -42,11 +42,21 @@
 		if err := files.Read(path, "pilot", &f); err != nil {
 			return nil, err
 		}
-		p, err := pilot.New(&f, slog.Default())
+		l, err := openLogs(f.Log, "vetchdoor-pilot")
 		if err != nil {
 			return nil, err
 		}
-		return p.Stop, p.Start()
+		p, err := pilot.New(&f, l.all)
+		if err != nil {
+			l.close()
+			return nil, err
+		}
+		p.Records = l.records
+		if err := p.Start(); err != nil {
+			l.close()
+			return nil, err
+		}
+		return func() { p.Stop(); l.close() }, nil
 	})
 }
 
@@ -56,11 +66,19 @@
 		if err := files.Read(path, "proxy", &f); err != nil {
 			return nil, err
 		}
-		p, err := proxy.New(&f, slog.Default())
+		l, err := openLogs(f.Log, "vetchdoor-proxy")
+		if err != nil {
+			return nil, err
+		}
+		p, err := proxy.New(&f, l.all)
+		if err == nil {
+			err = p.Start()
+		}
 		if err != nil {
+			l.close()
 			return nil, err
 		}
-		return func() { p.Stop(context.Background()) }, p.Start()
+		return func() { p.Stop(context.Background()); l.close() }, nil
 	})
 }
 
--- a/cmd/vetchdoor/lab.go
+++ b/cmd/vetchdoor/lab.go
@@ -27,6 +27,7 @@
 	var asJSON, verbose bool
 	var seed uint64
 	var length time.Duration
+	var logTo string
 	c := &cobra.Command{
 		Use: "run [DAY]",
 		Short: "plays a day, one that ships (" + strings.Join(days.Names(), ", ") + ") or a file, and checks the rules on " +
@@ -61,6 +62,14 @@
 			if asJSON {
 				o.Progress = io.Discard
 			}
+			if logTo != "" {
+				l, err := openLogs([]files.Log{{Network: "file", Address: logTo, Buffer: 1 << 18, Rate: 1e6}}, "vetchdoor-pilot")
+				if err != nil {
+					return err
+				}
+				defer l.close()
+				o.Records = l.records
+			}
 			r, err := lab.Run(ctx, day, o)
 			if err != nil {
 				return err
@@ -82,6 +91,7 @@
 	}
 	c.Flags().BoolVar(&asJSON, "json", false, "the report as JSON")
 	c.Flags().BoolVar(&verbose, "verbose", false, "the programs' own logs on standard error")
+	c.Flags().StringVar(&logTo, "log", "", "the pilots' records of their decisions, added to this file (vetchdoor log show FILE)")
 	c.Flags().Uint64Var(&seed, "seed", 0, "another seed than the day's")
 	c.Flags().DurationVar(&length, "length", 0, "squeeze the day's clock into this")
 	return c
--- /dev/null
+++ b/cmd/vetchdoor/logs.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"vetchdoor/files"
+	"vetchdoor/syslog"
+)
+
+// facilities by name.
+var facilities = map[string]syslog.Facility{"": syslog.Daemon, "daemon": syslog.Daemon, "local0": syslog.Local0, "local1": syslog.Local0 + 1,
+	"local2": syslog.Local0 + 2, "local3": syslog.Local0 + 3, "local4": syslog.Local0 + 4, "local5": syslog.Local0 + 5,
+	"local6": syslog.Local0 + 6, "local7": syslog.Local0 + 7}
+
+// logs are the logs of a file: standard error's and records', and what ends them.
+type logs struct {
+	all     *slog.Logger // to standard error and the logs
+	records *slog.Logger // to the logs alone; nil without any
+	senders []*syslog.Sender
+}
+
+// openLogs starts the logs of a file. What goes wrong on the way to a receiver is told on standard error alone.
+func openLogs(list []files.Log, app string) (*logs, error) {
+	l := &logs{all: slog.Default()}
+	var to fanOut
+	for _, f := range list {
+		var level slog.Level
+		if f.Level != "" {
+			if err := level.UnmarshalText([]byte(f.Level)); err != nil {
+				return nil, err
+			}
+		}
+		var h *syslog.Handler
+		ready := make(chan struct{})
+		s, err := syslog.Start(syslog.Route{Network: f.Network, Address: f.Address, Buffer: f.Buffer, Spool: f.Spool, SpoolAt: f.SpoolBytes,
+			CA: f.CA, Cert: f.Cert, Key: f.Key, Name: f.Name}, slog.Default(), uint64(time.Now().UnixNano()),
+			func(dropped [syslog.Debug + 1]uint64, torn uint64) {
+				<-ready
+				h.Lost(dropped, torn)
+			})
+		if err != nil {
+			l.close()
+			return nil, err
+		}
+		h = syslog.NewHandler(s, syslog.Identity{Facility: facilities[f.Facility], Host: f.Host, App: app, Level: level, Rate: f.Rate})
+		close(ready)
+		l.senders = append(l.senders, s)
+		to = append(to, h)
+	}
+	if len(to) > 0 {
+		l.records = slog.New(to)
+		l.all = slog.New(append(fanOut{slog.Default().Handler()}, to...))
+	}
+	return l, nil
+}
+
+func (l *logs) close() {
+	for _, s := range l.senders {
+		s.Close()
+		if c := s.Counts(); c.Waiting+c.Spooled > 0 || c.Dropped != [syslog.Debug + 1]uint64{} {
+			slog.Warn("not all records went out", "sent", c.Sent, "spooled", c.Spooled, "dropped", c.Dropped)
+		}
+	}
+}
+
+// fanOut hands records to several handlers.
+type fanOut []slog.Handler
+
+func (f fanOut) Enabled(ctx context.Context, l slog.Level) bool {
+	for _, h := range f {
+		if h.Enabled(ctx, l) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f fanOut) Handle(ctx context.Context, r slog.Record) error {
+	var errs []error
+	for _, h := range f {
+		if h.Enabled(ctx, r.Level) {
+			errs = append(errs, h.Handle(ctx, r.Clone()))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (f fanOut) WithAttrs(attrs []slog.Attr) slog.Handler {
+	n := make(fanOut, len(f))
+	for i, h := range f {
+		n[i] = h.WithAttrs(attrs)
+	}
+	return n
+}
+
+func (f fanOut) WithGroup(name string) slog.Handler {
+	n := make(fanOut, len(f))
+	for i, h := range f {
+		n[i] = h.WithGroup(name)
+	}
+	return n
+}
--- a/cmd/vetchdoor/main.go
+++ b/cmd/vetchdoor/main.go
@@ -57,7 +57,7 @@
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.PersistentFlags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
 	root.PersistentFlags().StringVar(&format, "log-format", "text", "text or json")
-	root.AddCommand(pilotCommand(), proxyCommand(), nodeCommand(), rosterCommand(), ctlCommand(), checkCommand(),
+	root.AddCommand(pilotCommand(), proxyCommand(), nodeCommand(), rosterCommand(), ctlCommand(), checkCommand(), logCommand(),
 		schemaCommand(), labCommand())
 	return root
 }
--- a/files/contradictions.go
+++ b/files/contradictions.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"strconv"
 	"time"
@@ -110,8 +111,33 @@
 	return nil
 }
 
+func logsContradict(logs []Log) *Fault {
+	spools := map[string]bool{}
+	for i, l := range logs {
+		here := fmt.Sprintf("/log/%d", i)
+		if _, _, err := net.SplitHostPort(l.Address); err != nil && (l.Network == "udp" || l.Network == "tcp" || l.Network == "tls") {
+			return fault(here+"/address", l.Address, "HOST:PORT, for the network is %s", l.Network)
+		}
+		if l.Network != "tls" && l.CA+l.Cert+l.Key+l.Name != "" {
+			return fault(here+"/network", l.Network, "tls, where certificates are given")
+		}
+		if (l.Cert == "") != (l.Key == "") {
+			return fault(here+"/key", l.Key, "a file where there is a cert, none where there is none")
+		}
+		if l.SpoolBytes > 0 && l.Spool == "" {
+			return fault(here+"/spool_bytes", l.SpoolBytes, "a spool beside it")
+		}
+		if l.Spool != "" && spools[l.Spool] {
+			return fault(here+"/spool", l.Spool, "a directory that no other has")
+		}
+		spools[l.Spool] = true
+	}
+	return nil
+}
+
 func (p *Pilot) contradictions() *Fault {
 	return first(
+		func() *Fault { return logsContradict(p.Log) },
 		func() *Fault { return p.Service.contradictions("/service") },
 		func() *Fault { return p.Service.zone("/zone", p.Zone) },
 		func() *Fault { return p.Limits.contradictions("/limits") },
@@ -140,6 +166,7 @@
 
 func (p *Proxy) contradictions() *Fault {
 	if f := first(
+		func() *Fault { return logsContradict(p.Log) },
 		func() *Fault { return p.Service.contradictions("/service") },
 		func() *Fault { return p.Service.zone("/zone", p.Zone) }); f != nil {
 		return f
--- a/files/files.go
+++ b/files/files.go
@@ -119,6 +119,7 @@
 	Tenants   bool     `json:"tenants,omitempty"` // limit tenants that harm others, by what proxies met of them
 	Moves     *Moves   `json:"moves,omitempty"`   // tenants may be moved
 	Peers     []Peer   `json:"peers,omitempty"`   // the other pilots, where they may write to each other
+	Log       []Log    `json:"log,omitempty"`     // beside standard error
 	Service   Service  `json:"service"`
 	Limits    Limits   `json:"limits"`
 	Channel   Channel  `json:"channel"`
@@ -185,9 +186,27 @@
 	Seed       uint64           `json:"seed,omitempty"`
 	Pool       Pool             `json:"pool,omitzero"`
 	Tenants    *Tenants         `json:"tenants,omitempty"`
+	Log        []Log            `json:"log,omitempty"` // beside standard error
 	Service    Service          `json:"service"`
 }
 
+// Log is where records go, by RFC 5424.
+type Log struct {
+	Network    string  `json:"network"` // udp, tcp, tls, unixgram or file
+	Address    string  `json:"address"` // or path
+	CA         string  `json:"ca,omitempty"`
+	Cert       string  `json:"cert,omitempty"`
+	Key        string  `json:"key,omitempty"`
+	Name       string  `json:"name,omitempty"`     // the receiver's in its certificate; empty: the address's host
+	Facility   string  `json:"facility,omitempty"` // daemon, local0 to local7; empty: daemon
+	Level      string  `json:"level,omitempty"`    // debug, info, warn or error; empty: info
+	Host       string  `json:"host,omitempty"`     // empty: the machine's name
+	Buffer     int     `json:"buffer,omitempty"`   // records in memory
+	Spool      string  `json:"spool,omitempty"`    // a directory, for this program alone
+	SpoolBytes int64   `json:"spool_bytes,omitempty"`
+	Rate       float64 `json:"rate,omitempty"` // records a second of one kind and reason
+}
+
 // Machine is a kind of server that a node stands in for.
 type Machine struct {
 	Name        string     `json:"name"`
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -38,6 +38,7 @@
 	pilots     []*pilotAt
 	proxies    []*proxyAt
 	dir        string
+	records    *slog.Logger
 	born       time.Time
 	mu         sync.Mutex // guards what troubles change
 	hot        []hotSpell
@@ -82,7 +83,7 @@
 // newFleet builds and starts everything but the clients.
 func newFleet(day *files.Day, o *Options) (f *fleet, err error) {
 	f = &fleet{day: day, log: o.Log, rng: rand.New(rand.NewPCG(day.Seed, 2)), ledger: node.NewLedger(), born: time.Now(),
-		stop: make(chan struct{}), wrap: o.faulty, believed: day.Service}
+		stop: make(chan struct{}), wrap: o.faulty, believed: day.Service, records: o.Records}
 	if f.believed.OpTypes = slices.Clone(day.Service.OpTypes); o.believe != nil {
 		o.believe(&f.believed)
 	}
@@ -232,6 +233,7 @@
 		if at.p, err = pilot.New(at.file, f.log); err != nil {
 			return err
 		}
+		at.p.Records = f.records
 		if err := at.p.Start(); err != nil {
 			return err
 		}
--- a/lab/run.go
+++ b/lab/run.go
@@ -21,7 +21,8 @@
 // Options are how a day is played.
 type Options struct {
 	Log      *slog.Logger
-	Progress io.Writer // nil: silent
+	Progress io.Writer    // nil: silent
+	Records  *slog.Logger // gets the pilots' records of decisions; may be nil
 	faulty   func(*files.Proxy, *proxy.Proxy)
 	begin    func(*fleet)         // before the first op
 	believe  func(*files.Service) // changes what pilots and proxies take the service to be
--- a/lab/trouble.go
+++ b/lab/trouble.go
@@ -376,6 +376,7 @@
 	at.file.Seed++
 	p, err := pilot.New(at.file, f.log)
 	if err == nil {
+		p.Records = f.records
 		err = p.Start()
 	}
 	if err != nil {
--- a/pilot/moves.go
+++ b/pilot/moves.go
@@ -80,7 +80,13 @@
 		return nil
 	}
 	d := m.Step(p.now(), events...)
+	for _, e := range events {
+		if e.Ask != nil && len(d.Refused) == 0 {
+			p.records.movesAsked(e.Ask)
+		}
+	}
 	for _, e := range d.Ended {
+		p.records.moved(e)
 		if m.held += e.Held; e.Moved {
 			m.moved++
 		} else {
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -41,6 +41,9 @@
 	born  time.Time
 	seed  uint64
 
+	// Records, if not nil at Start, gets a record of each decision; it must not hold up who logs.
+	Records *slog.Logger
+
 	inbox   chan func()
 	stop    chan struct{}
 	stopped chan struct{}
@@ -64,6 +67,7 @@
 	uses         []tenancy.Use
 	loads        map[tenancy.PodID]*[2]float64 // what servers said since the last look: sum and number
 	mover        *mover                        // nil: tenants are not moved
+	records      *recorder
 	events       []control.Event
 	batch        *time.Timer // set while events wait for their tick
 	pace         *time.Timer // set while a message waits for its time
@@ -131,6 +135,12 @@
 		cancel()
 		return err
 	}
+	var types []string
+	for _, t := range p.file.Service.OpTypes {
+		types = append(types, t.Name)
+	}
+	p.records = newRecorder(p.Records, p.file.Name, types, p.run, p.now)
+	p.records.began(p.run, "start")
 	p.fresh()
 	var err error
 	if p.ln, err = stream.Listen(p.file.Listen, p.accept); err != nil {
@@ -313,6 +323,8 @@
 		return
 	}
 	messages, rest := p.book.write(orders)
+	p.records.ordered(orders)
+	p.records.sent(orders, messages)
 	p.queue(now, messages)
 	for _, o := range rest {
 		p.do(o)
@@ -355,6 +367,7 @@
 		w.conn.Close()
 		delete(p.wires, w)
 	}
+	p.records.began(p.run, "panic")
 	p.fresh()
 	p.batch.Reset(p.facts.Tick)
 }
@@ -410,6 +423,7 @@
 	limits := p.warden.Step(p.uses, p.podLoads())
 	p.uses = nil
 	for _, l := range limits {
+		p.records.limited(l)
 		p.log.Warn("a tenant's limit changed", "tenant", l.Tenant, "rate", l.Rate, "hand", l.Hand, "fenced", l.Fenced, "room", l.Room)
 	}
 	if len(limits) > 0 {
--- a/pilot/streams.go
+++ b/pilot/streams.go
@@ -108,6 +108,7 @@
 	case runtime.Refused:
 		p.log.Warn("a proxy refused a message; it joins anew", "proxy", s.id, "number", b.Number, "reason", b.Reason)
 		p.refused++
+		p.records.refused(s.id, b.Reason)
 		p.drop(s)
 	case *runtime.Sums:
 		p.intake.add(p.now(), s.id, s.zone, b)
@@ -166,6 +167,7 @@
 		}
 		p.move(tenancy.Event{Joined: &tenancy.Joined{Proxy: tenancy.ProxyID(h.Proxy), Has: has}})
 	}
+	p.records.joined(s, resume)
 	_ = w.conn.Send(runtime.Welcome{Pilot: p.file.Name, Run: p.run, Resumed: resume}.Append(nil))
 	p.log.Info("proxy joined", "proxy", s.id, "zone", s.zone, "resumed", resume)
 	p.pump()
@@ -192,6 +194,7 @@
 	s.unconfirmed -= m.Lines
 	p.placed(s, m)
 	if m.Checkpoint >= 0 {
+		p.records.inForce(s.id, m.Checkpoint, p.now()-m.At)
 		p.event(control.InForce{Proxy: s.id, Checkpoint: m.Checkpoint, Took: p.now() - m.At})
 	}
 }
@@ -241,6 +244,7 @@
 	p.numbers[s.id] = p.book.leave(s.id)
 	p.intake.forget(s.id)
 	p.away(s.id)
+	p.records.left(s.id)
 	p.event(control.Left{Proxy: s.id})
 }
 
@@ -253,6 +257,7 @@
 
 // watch closes streams that say nothing and pings the others.
 func (p *Pilot) watch() {
+	p.records.look()
 	for w := range p.wires {
 		quiet := time.Since(w.last)
 		if w.known && quiet > p.silent || !w.known && time.Since(w.opened) > p.silent {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -77,6 +77,7 @@
 	spells          int       // times it was found sick
 	started, turnAt time.Duration
 	sickFor, eased  time.Duration
+	why             control.Why // of its last sick spell
 }
 
 // tally sums up the shares that failed of servers that were tried enough.
@@ -116,8 +117,9 @@
 	table        *table    // as last sent; nil: its standing table
 	placed, away bool
 	leftAt       time.Duration
-	lines, sent  float64 // of the message that this turn writes to it; of those not confirmed
-	last         int     // number of the newest
+	lines, sent  float64     // of the message that this turn writes to it; of those not confirmed
+	last         int         // number of the newest
+	why          control.Why // of its place
 }
 
 // Assigner is one instance; its first event is its start.
@@ -430,6 +432,7 @@
 		if share > rest+sickMargin && (calmer || silent) && (few || share > lost && a.stands(e.cell)) {
 			e.sickFor = time.Duration((1 + a.chance()) * float64(a.lag()<<min(e.spells, settledLags)))
 			e.sick, e.turnAt, e.spells = true, a.now, e.spells+1
+			e.why = control.Why{Reason: control.Sick, Value: share, Limit: rest + sickMargin}
 			e.cell.sick++
 		}
 	}
@@ -540,12 +543,25 @@
 			with := func(c *cell) float64 { return a.fill(c, p.demand) }
 			p.cell = slices.MinFunc(a.cells, func(x, y *cell) int { return cmp.Compare(with(x), with(y)) })
 		}
+		p.why = a.whyPlace(p)
 		if p.cell != nil {
 			p.cell.demand += p.demand
 		}
 	}
 }
 
+func (a *Assigner) whyPlace(p *proxy) control.Why {
+	switch home := p.ranked[0]; {
+	case p.cell == home:
+		return control.Why{Reason: control.Home}
+	case !home.live:
+		mute := a.now - home.answeredAt
+		return control.Why{Reason: control.HomeDown, Value: mute.Seconds(), Limit: silence.Seconds()}
+	default:
+		return control.Why{Reason: control.HomeFull, Value: a.fill(home, p.demand), Limit: a.roomy()}
+	}
+}
+
 // spread tells who without room goes to the commons: all where tables stay few, else who is too heavy.
 func (a *Assigner) spread(p *proxy) bool {
 	heavy := p.demand/max(a.demand, tiny)*float64(len(a.cells))*even > a.roomy()
@@ -586,6 +602,7 @@
 		home := p.ranked[0]
 		if home.live && a.now-home.since >= settledLags*a.lag() && a.fill(home, p.demand) <= room-slack {
 			p.cell, a.moveAt = home, a.now
+			p.why = control.Why{Reason: control.HomeAgain, Value: a.fill(home, p.demand), Limit: room - slack}
 			return
 		}
 	}
@@ -600,6 +617,10 @@
 		at = len(own) - 1
 	}
 	own[at].cell, a.moveAt = nil, a.now
+	own[at].why = control.Why{Reason: control.Shed, Value: high.score, Limit: over}
+	if high.score <= over {
+		own[at].why = control.Why{Reason: control.Shed, Value: a.fill(high, 0), Limit: room + slack}
+	}
 	if low != high && ((low.load+a.fill(low, own[at].demand))/2 < fits || !a.spread(own[at])) {
 		own[at].cell = low
 	}
@@ -674,6 +695,55 @@
 	return e.weight * a.fit(e)
 }
 
+// whyLine is why a server's line is put at a weight, after the one that was told.
+func (a *Assigner) whyLine(e *endpoint, told, want float64) control.Why {
+	switch {
+	case e.mode == control.Gone:
+		return control.Why{Reason: control.Unlisted}
+	case e.mode == control.Draining:
+		return control.Why{Reason: control.Drains}
+	case want == 0:
+		return control.Why{Reason: control.Jammed, Value: e.cell.load, Limit: busy}
+	case a.cold(e) < 1:
+		return control.Why{Reason: control.Warming, Value: a.cold(e), Limit: 1}
+	case e.ease < 1 && want < told:
+		return control.Why{Reason: control.Eased, Value: e.load, Limit: max(calm, a.load+apart)}
+	case e.turnAt > control.LongAgo && a.fit(e) < e.ease:
+		return control.Why{Reason: control.Returning, Value: a.fit(e), Limit: e.ease}
+	case told > 0 && want > told && e.eased == a.now:
+		return control.Why{Reason: control.Regains, Value: e.load, Limit: a.load - apart}
+	}
+	return control.Why{Reason: control.Listed, Value: e.weight}
+}
+
+// whyOut is why a server is withdrawn, or let in again.
+func (e *endpoint) whyOut() control.Why {
+	switch {
+	case !e.out:
+		return control.Why{Reason: control.Back}
+	case e.mode == control.Gone:
+		return control.Why{Reason: control.Unlisted}
+	case e.mode == control.Draining:
+		return control.Why{Reason: control.Drains}
+	}
+	return e.why
+}
+
+// whyLevel is why a level is other than it was.
+func (a *Assigner) whyLevel(before, level float64) control.Why {
+	switch {
+	case before < 0 && level == 1:
+		return control.Why{Reason: control.First}
+	case level > before && before >= 0:
+		return control.Why{Reason: control.Recovers, Value: a.load, Limit: calm}
+	case a.load >= busy:
+		return control.Why{Reason: control.Distress, Value: a.load, Limit: busy}
+	case max(a.failing, a.met.mean()) > failsMuch:
+		return control.Why{Reason: control.Failing, Value: max(a.failing, a.met.mean()), Limit: failsMuch}
+	}
+	return control.Why{Reason: control.Capacity, Value: a.each * a.power / max(a.offered, tiny), Limit: 1}
+}
+
 // push sends what differs from what was sent, the most urgent first, as the channel has room. Where keys
 // have slices, and while no server lives, only withdrawals are sent.
 func (a *Assigner) push() {
@@ -728,7 +798,7 @@
 		}
 		if !bare && a.charge(hardWaiting, 1, holders...) {
 			e.out = !e.out
-			a.do(control.Suspend{Endpoint: e.id, Out: e.out})
+			a.do(control.Suspend{Endpoint: e.id, Out: e.out, Why: e.whyOut()})
 		}
 	}
 }
@@ -746,7 +816,8 @@
 			later = later || e.sick && told > 0 || gone && !e.out && len(users) > 0
 			if want != told && !later && a.charge(room, 1, users...) {
 				e.told[t.id] = want
-				a.do(control.PutLine{Table: t.id, Endpoint: e.id, Weight: want})
+				why := a.whyLine(e, told, want)
+				a.do(control.PutLine{Table: t.id, Endpoint: e.id, Weight: want, Why: why})
 			}
 		}
 	}
@@ -773,7 +844,7 @@
 		}
 		if a.charge(room, lines, p) {
 			p.table = t
-			a.do(control.Bind{Table: t.id, Proxy: p.id})
+			a.do(control.Bind{Table: t.id, Proxy: p.id, Why: p.why})
 		}
 	}
 }
@@ -783,8 +854,10 @@
 	for i := range a.ops {
 		op, level := &a.ops[i], a.level(i)
 		if level != op.level && a.charge(softWaiting, 1, a.joined...) {
+			why := a.whyLevel(op.level, level)
 			op.level = level
-			a.do(control.SetLevel{Table: control.Everywhere, OpTypes: 1 << i, Level: level, Again: control.IfUnrun})
+			a.do(control.SetLevel{Table: control.Everywhere, OpTypes: 1 << i, Level: level,
+				Again: control.IfUnrun, Why: why})
 		}
 	}
 }
--- a/syslog/sender.go
+++ b/syslog/sender.go
@@ -6,6 +6,7 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -18,7 +19,7 @@
 
 // Route is where records go and what may wait on the way.
 type Route struct {
-	Network string // udp (RFC 5426), tcp (RFC 6587, octets counted), tls (RFC 5425) or unixgram
+	Network string // udp (RFC 5426), tcp (RFC 6587, octets counted), tls (RFC 5425), unixgram, or file: a line each
 	Address string
 	Buffer  int    // records in memory; 0: 4096
 	Spool   string // a directory for those that memory has no room for; empty: none
@@ -72,7 +73,7 @@
 	inHand   atomic.Int64
 	head     sync.Mutex // held while records move from the queue to the spool or out
 	rng      *rand.Rand
-	conn     net.Conn // the writer's own
+	conn     io.WriteCloser // the writer's own
 	gone     chan struct{}
 	material string // of the connection's certificates
 	told     [Debug + 1]uint64
@@ -87,9 +88,9 @@
 // told once records flow again after some were lost since it was last told.
 func Start(r Route, log *slog.Logger, seed uint64, announce func(dropped [Debug + 1]uint64, torn uint64)) (*Sender, error) {
 	switch r.Network {
-	case "udp", "tcp", "tls", "unixgram":
+	case "udp", "tcp", "tls", "unixgram", "file":
 	default:
-		return nil, fmt.Errorf("syslog: network %q is none of udp, tcp, tls, unixgram", r.Network)
+		return nil, fmt.Errorf("syslog: network %q is none of udp, tcp, tls, unixgram, file", r.Network)
 	}
 	if r.Buffer <= 0 {
 		r.Buffer = usualBuffer
@@ -127,6 +128,9 @@
 
 func (r *Route) datagrams() bool { return r.Network == "udp" || r.Network == "unixgram" }
 
+// framed tells whether octets are counted before each message.
+func (r *Route) framed() bool { return r.Network == "tcp" || r.Network == "tls" }
+
 // Longest is how many bytes a message may have.
 func (s *Sender) Longest() int { return s.route.Longest }
 
@@ -221,6 +225,15 @@
 // connect dials.
 func (s *Sender) connect(ctx context.Context) error {
 	network := s.route.Network
+	if network == "file" {
+		f, err := os.OpenFile(s.route.Address, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o640)
+		if err != nil {
+			return err
+		}
+		s.conn = f
+		s.connects.Add(1)
+		return nil
+	}
 	if network == "tls" {
 		network = "tcp"
 	}
@@ -246,7 +259,7 @@
 	}
 	s.conn = c
 	s.gone = make(chan struct{})
-	if !s.route.datagrams() { // a receiver says nothing; when its side ends, that is seen at once and not with the next write
+	if s.route.framed() { // a receiver says nothing; when its side ends, that is seen at once and not with the next write
 		go func(c net.Conn, gone chan struct{}) {
 			defer close(gone)
 			b := make([]byte, 64)
@@ -292,8 +305,14 @@
 	return conf, material, nil
 }
 
-// renewed tells whether the files hold other certificates now; ones that cannot be read leave the connection as it is.
+// renewed tells whether the files hold other certificates now, or the log's file is another; ones that cannot be read leave
+// the connection as it is.
 func (s *Sender) renewed() bool {
+	if f, ok := s.conn.(*os.File); ok {
+		open, err := f.Stat()
+		there, err2 := os.Stat(s.route.Address)
+		return err == nil && (err2 != nil || !os.SameFile(open, there))
+	}
 	if s.route.Network != "tls" {
 		return false
 	}
@@ -301,14 +320,14 @@
 	return err == nil && material != s.material
 }
 
-var errRenewed = errors.New("the certificates are others now")
+var errRenewed = errors.New("the certificates or the file are others now")
 
 // carry sends records until the connection breaks.
 func (s *Sender) carry(ctx context.Context) error {
 	look := time.NewTicker(noticeEvery)
 	defer look.Stop()
 	var closed <-chan struct{}
-	if !s.route.datagrams() {
+	if s.route.framed() {
 		closed = s.gone
 	}
 	var b []byte
@@ -341,11 +360,15 @@
 			continue
 		}
 		b = b[:0]
-		if !s.route.datagrams() {
+		if s.route.framed() {
 			b = append(strconv.AppendInt(b, int64(len(r.text)), 10), ' ')
 		}
-		b = append(b, r.text...)
-		_ = s.conn.SetWriteDeadline(time.Now().Add(s.route.Patient))
+		if b = append(b, r.text...); s.route.Network == "file" {
+			b = append(b, '\n')
+		}
+		if c, ok := s.conn.(net.Conn); ok {
+			_ = c.SetWriteDeadline(time.Now().Add(s.route.Patient))
+		}
 		_, err := s.conn.Write(b)
 		s.done(r, spooled, err == nil)
 		if err != nil {
--- a/syslog/sender_test.go
+++ b/syslog/sender_test.go
@@ -298,6 +298,28 @@
 	}
 }
 
+// A file is written a line a record, and one that was moved away is begun anew.
+func TestFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	s := begin(t, Route{Network: "file", Address: path})
+	lines := func(path string) int {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return -1
+		}
+		return strings.Count(string(text), "\n")
+	}
+	s.Put(Notice, (&Message{Text: "one\nline"}).Append(nil, 1000))
+	until(t, "written", func() bool { return lines(path) == 1 })
+	if err := os.Rename(path, path+".1"); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "begun anew", func() bool { return lines(path) == 0 })
+	s.Put(Notice, numbered(2, Notice))
+	until(t, "written", func() bool { return lines(path) == 1 && lines(path+".1") == 1 })
+	exact(t, s.Counts())
+}
+
 // authority signs certificates for a test.
 type authority struct {
 	cert *x509.Certificate
