--- /dev/null
+++ b/pilot/records_test.go
@@ -0,0 +1,160 @@
+package pilot
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"vetchdoor/control"
+	"vetchdoor/files"
+	"vetchdoor/lab/receiver"
+	"vetchdoor/policy"
+	"vetchdoor/record"
+	"vetchdoor/runtime"
+	"vetchdoor/syslog"
+)
+
+// Each order has its record with its reason, numbered without a gap; a checkpoint's tells who confirmed it and who did not.
+func TestRecords(t *testing.T) {
+	got, err := receiver.Listen("tcp", "127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer got.Close()
+	out, err := syslog.Start(syslog.Route{Network: "tcp", Address: got.Address()}, slog.New(slog.DiscardHandler), 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Duration(0)
+	r := newRecorder(slog.New(syslog.NewHandler(out, syslog.Identity{App: "a"})), "p", []string{"read", "write"}, 7, func() time.Duration { return now })
+	r.began(7, "start")
+	orders := []control.Order{
+		control.PutLine{Table: 2, Endpoint: 17, Weight: 1.5, Why: control.Why{Reason: control.Eased, Value: 92.71, Limit: 89}},
+		control.Blank{Table: 2}, control.Bind{Table: 2, Proxy: 3, OpTypes: 2, Why: control.Why{Reason: control.Home}},
+		control.SetLevel{Table: control.Everywhere, OpTypes: 1, Level: 0.5, Why: control.Why{Reason: control.Distress, Value: 81, Limit: 80}},
+		control.Suspend{Endpoint: 17, Out: true, Why: control.Why{Reason: control.Sick, Value: 0.9, Limit: 0.3}}, control.Note{Text: "n"}, control.Checkpoint{Number: 5}}
+	r.ordered(orders)
+	r.sent(orders, []outgoing{{3, message(5)}, {4, message(5)}})
+	r.inForce(3, 5, time.Second)
+	r.inForce(3, 5, time.Second)
+	r.inForce(9, 5, time.Second)
+	now = patience + 1
+	r.look()
+	orders = []control.Order{control.Checkpoint{Number: 6}}
+	r.sent(orders, []outgoing{{3, message(6)}})
+	r.inForce(3, 6, time.Second)
+	out.Close()
+	got.Close()
+	m, bad, _ := got.Got()
+	want := []string{record.Restart, record.Line, record.Blank, record.Bind, record.Level, record.Withdrawal, record.Note, record.InForce, record.InForce}
+	if len(m) != len(want) || len(bad) > 0 {
+		t.Fatalf("%d records, %v", len(m), bad)
+	}
+	get := func(i int, name string) string {
+		for _, p := range m[i].Data[record.Element+"@"+syslog.Enterprise] {
+			if p[0] == name {
+				return p[1]
+			}
+		}
+		return ""
+	}
+	for i, kind := range want {
+		if m[i].ID != kind || get(i, record.Sequence) != fmt.Sprint(i+1) || get(i, record.Run) != "7" {
+			t.Errorf("%+v", m[i])
+		}
+	}
+	for _, c := range []struct {
+		at         int
+		name, want string
+	}{{1, record.Why, "eased"}, {1, record.Value, "92.71"}, {1, record.Version, "1"}, {2, record.Version, "2"}, {3, record.OpType, "write"}, {4, record.Table, "*"},
+		{5, record.Node, "e17"}, {5, record.Out, "true"}, {5, record.Checkpoint, "5"}, {7, record.Confirmed, "1"}, {7, record.Of, "2"}, {7, record.Missing, "p4"},
+		{8, record.Confirmed, "1"}, {8, record.Missing, ""}} {
+		if got := get(c.at, c.name); got != c.want {
+			t.Errorf("record %d, %s: %q, not %q", c.at, c.name, got, c.want)
+		}
+	}
+}
+
+func message(checkpoint int) *runtime.Message { return &runtime.Message{Checkpoint: checkpoint} }
+
+// BenchmarkDecide is a beat of the module at 200 servers and 100 proxies, some of which fail by turns, with records off, on,
+// and on with a receiver that is stuck. The figure that counts is the 99th of a hundred beats.
+func BenchmarkDecide(b *testing.B) {
+	for _, how := range []string{"off", "on", "stuck"} {
+		b.Run(how, func(b *testing.B) {
+			f := pilotFile("127.0.0.1:1")
+			f.Proxies, f.Service.Measures, f.Channel.MostWaiting = 100, []string{"cpu_utilization"}, 1e6
+			f.Service.ReportEvery = files.Duration(time.Second)
+			p, err := New(f, slog.New(slog.DiscardHandler))
+			if err != nil {
+				b.Fatal(err)
+			}
+			p.newDecider = func() decider { return &policy.Assigner{} }
+			if how != "off" {
+				route := syslog.Route{Network: "file", Address: filepath.Join(b.TempDir(), "log"), Buffer: 1 << 16}
+				if how == "stuck" {
+					ln, err := net.Listen("tcp", "127.0.0.1:0")
+					if err != nil {
+						b.Fatal(err)
+					}
+					defer ln.Close()
+					route = syslog.Route{Network: "tcp", Address: ln.Addr().String(), Buffer: 1 << 12, Patient: 50 * time.Millisecond}
+				}
+				out, err := syslog.Start(route, slog.New(slog.DiscardHandler), 1, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer out.Close()
+				p.Records = slog.New(syslog.NewHandler(out, syslog.Identity{App: "a", Rate: 1e6}))
+			}
+			now := time.Duration(0)
+			p.records = newRecorder(p.Records, "p", []string{"a"}, 1, func() time.Duration { return now })
+			p.fresh()
+			var entries []control.Entry
+			for i := range 200 {
+				entries = append(entries, control.Entry{Endpoint: control.EndpointID(i), Weight: 4, Mode: control.Ready, Started: control.LongAgo})
+			}
+			events := append(p.events, control.Listing{Kind: control.Full, Entries: entries})
+			for i := range control.ProxyID(100) {
+				p.book.join(i, nil, false, 0)
+				events = append(events, control.Joined{Proxy: i, Rate: 50})
+			}
+			rng := rand.New(rand.NewPCG(1, 1))
+			var took []time.Duration
+			for b.Loop() {
+				now += time.Second
+				sick := rng.IntN(200)
+				for i := range 200 {
+					d := control.Digest{Endpoint: control.EndpointID(i), Tries: 50, Failed: rng.IntN(2), Latency: 50 * time.Millisecond, Window: time.Second, Load: []float64{0.5 + 0.3*rng.Float64()}}
+					if i/10 == sick/10 {
+						d.Failed, d.Load[0] = 45, 0.1
+					}
+					events = append(events, d)
+				}
+				for i := range control.ProxyID(100) {
+					events = append(events, control.Arrivals{Proxy: i, Ops: 50, Window: time.Second})
+				}
+				events = append(events, control.Ring{Label: 1})
+				begin := time.Now()
+				orders, _ := p.ask(now, events)
+				messages, _ := p.book.write(orders)
+				p.records.ordered(orders)
+				p.records.sent(orders, messages)
+				took = append(took, time.Since(begin))
+				events = events[:0]
+				for _, m := range messages {
+					events = append(events, control.InForce{Proxy: m.proxy, Checkpoint: m.Checkpoint, Took: time.Second})
+				}
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-µs")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
+			b.ReportMetric(float64(p.records.count())/float64(len(took)), "records/beat")
+		})
+	}
+}
