show info tells what became of the log's records; the reader tested as a program

Need: counts of a log were told at its end alone, and no test read a running program's log.

Change: show info of pilots and proxies has made, sent, dropped, suppressed, spooled, waiting; tests reset a connection at every byte of a frame, hold three parsers against each other on 3,000 messages, and read a pilot's own log with vetchdoor log.

--- a/cmd/vetchdoor/daemons.go
+++ b/cmd/vetchdoor/daemons.go
@@ -51,7 +51,7 @@
 			l.close()
 			return nil, err
 		}
-		p.Records = l.records
+		p.Records, p.Info = l.records, l.info
 		if err := p.Start(); err != nil {
 			l.close()
 			return nil, err
@@ -72,6 +72,7 @@
 		}
 		p, err := proxy.New(&f, l.all)
 		if err == nil {
+			p.More = l.info
 			err = p.Start()
 		}
 		if err != nil {
--- a/cmd/vetchdoor/logs.go
+++ b/cmd/vetchdoor/logs.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"log/slog"
 	"time"
 
@@ -66,6 +68,19 @@
 	}
 }
 
+// info writes what became of the records, for show info.
+func (l *logs) info(w io.Writer) {
+	for i, s := range l.senders {
+		c := s.Counts()
+		dropped := uint64(0)
+		for _, n := range c.Dropped {
+			dropped += n
+		}
+		fmt.Fprintf(w, "Log_%d_made: %d\nLog_%d_sent: %d\nLog_%d_dropped: %d\nLog_%d_suppressed: %d\nLog_%d_spooled: %d\nLog_%d_waiting: %d\nLog_%d_failures: %d\n",
+			i, c.Made, i, c.Sent, i, dropped, i, c.Suppressed, i, c.Spooled, i, c.Waiting, i, c.Failures)
+	}
+}
+
 // fanOut hands records to several handlers.
 type fanOut []slog.Handler
 
--- a/cmd/vetchdoor/main_test.go
+++ b/cmd/vetchdoor/main_test.go
@@ -140,9 +140,9 @@
 	write(t, path, list)
 	roster := launchFile(t, "roster", path)
 	at := roster.until("list service runs")["listen"]
-	sock := "unix:" + filepath.Join(t.TempDir(), "p.sock")
+	sock, logAt := "unix:"+filepath.Join(t.TempDir(), "p.sock"), filepath.Join(t.TempDir(), "pilot.log")
 	pilot := launch(t, "pilot", object{"kind": "pilot", "name": "p", "zone": "z", "proxies": 1, "listen": "127.0.0.1:0", "roster": at, "admin": sock,
-		"cache": filepath.Join(t.TempDir(), "list.json"), "service": service(), "limits": limits(),
+		"cache": filepath.Join(t.TempDir(), "list.json"), "service": service(), "limits": limits(), "log": []object{{"network": "file", "address": logAt}},
 		"channel": object{"lines_per_second": 1000, "message_lines": 3, "most_waiting": 1000, "report_lines_per_second": 1000}})
 	proxy := launch(t, "proxy", object{"kind": "proxy", "id": 1, "zone": "z", "listen": "127.0.0.1:0", "rate": 1, "service": service(), "servers": entries,
 		"pilots": []object{{"address": pilot.until("pilot runs")["listen"], "zone": "z"}}})
@@ -207,6 +207,19 @@
 			t.Errorf("%v ended with %d", p.cmd.Args[1:], code)
 		}
 	}
+	for filter, want := range map[string]string{"kind=withdrawal and node=e1": "out=true: draining", "kind=restart": "p restart: start", "kind=bind": "p1 table=t0", "kind=joined": "proxy=p1"} {
+		out, err := program("log", "show", "-w", filter, logAt).CombinedOutput()
+		if err != nil || !strings.Contains(string(out), want) || !strings.Contains(string(out), " 0 broken lines, 0 there twice, 0 records missing") {
+			t.Errorf("%s: %v\n%s", filter, err, out)
+		}
+	}
+	page := filepath.Join(t.TempDir(), "node.html")
+	if out, err := program("log", "show", "--node", "e1", "--html", page, logAt).CombinedOutput(); err != nil {
+		t.Errorf("%v %s", err, out)
+	}
+	if text, err := os.ReadFile(page); err != nil || !strings.Contains(string(text), "draining") {
+		t.Error(err)
+	}
 }
 
 // Bad use and bad files end with 2 and one line that names the file; good ones with 0.
@@ -254,6 +267,9 @@
 	run(2, "nosuch", "lab", "run", "nosuch")
 	run(2, "--log-level", "check", "--log-level", "loud", paths["other"])
 	run(2, "sideways", "sideways")
+	run(2, "the filter", "log", "show", "-w", "node=", paths["other"])
+	run(2, "none.log", "log", "tail", filepath.Join(dir, "none.log"))
+	run(2, "--node", "log", "show", "--html", filepath.Join(dir, "x.html"), paths["other"])
 	run(2, "unix:", "ctl", "unix:"+filepath.Join(dir, "no.sock"), "help")
 }
 
--- a/logbook/logbook_test.go
+++ b/logbook/logbook_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"vetchdoor/lab/receiver"
 	"vetchdoor/record"
 	"vetchdoor/syslog"
 )
@@ -147,6 +148,48 @@
 	}
 }
 
+// The writer, the strict reader of the laboratory and this one agree on what a message says, whatever is in it.
+func TestAgree(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	pieces := []string{"]", `"`, "\\", "a", " ", "[", "ö", "🗳", "=", "x-1", "'", ":"}
+	text := func() string {
+		s := ""
+		for range 1 + rng.IntN(6) {
+			s += pieces[rng.IntN(len(pieces))]
+		}
+		return s
+	}
+	for range 3000 {
+		m := syslog.Message{Facility: syslog.Local0, Severity: syslog.Severity(rng.IntN(8)), Time: time.Unix(rng.Int64N(4e9), 0).UTC(), Host: "h", App: "a", ID: "kind"}
+		for i := range rng.IntN(3) {
+			e := syslog.Element{ID: fmt.Sprintf("e%d@1", i)}
+			for j := range rng.IntN(4) {
+				e.Params = append(e.Params, syslog.Param{Name: fmt.Sprintf("p%d%d", i, j), Value: text()})
+			}
+			m.Data = append(m.Data, e)
+		}
+		if rng.IntN(3) > 0 {
+			m.Text = "t" + text()
+		}
+		line := string(m.Append(nil, 8000))
+		strict, err := receiver.Parse(line)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := NewReader().Entry(line)
+		if e.Broken != nil || e.Text != strict.Text || !e.Time.Equal(strict.Time) || int(e.Severity) != strict.Priority&7 || e.Kind != strict.ID {
+			t.Fatalf("%q\n%+v\n%+v", line, e, strict)
+		}
+		for _, params := range strict.Data {
+			for _, p := range params {
+				if e.Params[p[0]] != p[1] {
+					t.Fatalf("%q: %q, not %q", line, e.Params[p[0]], p[1])
+				}
+			}
+		}
+	}
+}
+
 // Lines that nobody should have written are entries like others.
 func TestOdd(t *testing.T) {
 	for _, line := range []string{"\x00\xff", "<", "<999>1 x", strings.Repeat("<1>1 - ", 1000), "<13>1 - - - - - [", `<13>1 - - - - - [a@1 b="\]"] x`, "12 <13>1 - - - - - -"} {
--- a/pilot/admin.go
+++ b/pilot/admin.go
@@ -67,6 +67,9 @@
 	fmt.Fprintf(w, "Batches: %d\nDeciding_ms: %d\nMessages: %d\nLines: %d\nLines_waiting: %d\nLines_waiting_peak: %d\n",
 		p.batches, p.deciding.Milliseconds(), p.messages, p.lines, p.channel.waiting, p.channel.peak)
 	fmt.Fprintf(w, "Resumed: %d\nRefused: %d\nOverflows: %d\nPanics: %d\n", p.resumed, p.refused, p.overflows, p.panics)
+	if p.Info != nil {
+		p.Info(w)
+	}
 	if m := p.mover; m != nil {
 		moving, waiting := m.Moving(p.now())
 		fmt.Fprintf(w, "Moves: %d\nMoves_waiting: %d\nMoved: %d\nMoves_cancelled: %d\nBindings_waiting: %d\n", len(moving), waiting, m.moved, m.undone, m.waiting())
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -44,6 +45,9 @@
 	// Records, if not nil at Start, gets a record of each decision; it must not hold up who logs.
 	Records *slog.Logger
 
+	// Info, if not nil at Start, adds lines to show info.
+	Info func(io.Writer)
+
 	inbox   chan func()
 	stop    chan struct{}
 	stopped chan struct{}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -51,6 +52,9 @@
 	tenants  *tenants // nil: ops are nobody's
 	keeper   *keeper  // of bindings; nil: they are not kept
 
+	// More, if not nil at Start, adds lines to show info.
+	More func(io.Writer)
+
 	// ApplyFor, if not nil, is how long a message stalls the proxy before it applies; a rehearsal's way of a slow one.
 	ApplyFor func(m *runtime.Message) time.Duration
 }
--- a/syslog/sender_test.go
+++ b/syslog/sender_test.go
@@ -320,6 +320,33 @@
 	exact(t, s.Counts())
 }
 
+// A connection that is reset at any byte of a frame costs no record: the frame comes again, whole.
+func TestSplitFrames(t *testing.T) {
+	whole := len(numbered(7, Notice)) + 3
+	for cut := 1; cut <= 2*whole; cut++ {
+		r := listen(t, "tcp", "127.0.0.1:0", nil)
+		r.Set(receiver.Trouble{CutAt: cut})
+		s, err := Start(Route{Network: "tcp", Address: r.Address(), Patient: 50 * time.Millisecond}, quiet, uint64(cut), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Put(Notice, numbered(7, Notice))
+		until(t, "connected", func() bool { return s.Counts().Connects > 0 })
+		r.Set(receiver.Trouble{})
+		for i := 8; ; i++ { // what a system took before it learnt of the reset is lost to us; the next one tells us
+			s.Put(Notice, numbered(i, Notice))
+			if got, _, _ := r.Got(); len(got) > 1 {
+				break
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+		s.Close()
+		exact(t, s.Counts())
+		gotIDs(t, r)
+		r.Close()
+	}
+}
+
 // authority signs certificates for a test.
 type authority struct {
 	cert *x509.Certificate
