Binds say when their cell dropped; two pilots to one receiver

Need: a proxy that left a cell that dropped was told apart from others only if that cell was its home.

Change: control.CellDown with the seconds that nothing came back; a test of two pilots whose records meet at one receiver.

--- a/control/control.go
+++ b/control/control.go
@@ -276,6 +276,7 @@
 	Regains   Reason = "regains"    // its load in percent; what calls for more, beside the others'
 	Returning Reason = "returning"  // it takes up its weight in steps; the share that it has
 	Home      Reason = "home"       // the identity hash says so
+	CellDown  Reason = "cell-down"  // its cell drops; seconds that nothing came back from it, how long is borne
 	HomeDown  Reason = "home-down"  // seconds that nothing came back from its home; how long is borne
 	HomeFull  Reason = "home-full"  // the fill of its home with it; how far one is filled
 	HomeAgain Reason = "home-again" // the fill of its home with it; where there is room
--- a/pilot/records_test.go
+++ b/pilot/records_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -80,6 +81,51 @@
 	}
 }
 
+// Two pilots that write to one receiver are told apart, each with its own numbers, whatever comes first.
+func TestTwoPilotsOneReceiver(t *testing.T) {
+	got, err := receiver.Listen("tcp", "127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer got.Close()
+	var all sync.WaitGroup
+	for i := range 2 {
+		all.Go(func() {
+			out, err := syslog.Start(syslog.Route{Network: "tcp", Address: got.Address()}, slog.New(slog.DiscardHandler), 1, nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			r := newRecorder(slog.New(syslog.NewHandler(out, syslog.Identity{App: "a", Rate: 1e6})), fmt.Sprint("p", i), nil, 7, func() time.Duration { return 0 })
+			for n := range 500 {
+				r.ordered([]control.Order{control.PutLine{Endpoint: control.EndpointID(n), Weight: 1}})
+			}
+			out.Close()
+		})
+	}
+	all.Wait()
+	got.Close()
+	m, bad, torn := got.Got()
+	if len(m) != 1000 || len(bad) > 0 || torn > 0 {
+		t.Fatalf("%d records, %v, %d torn", len(m), bad, torn)
+	}
+	next := map[string]int{}
+	for _, x := range m {
+		var pilot, seq string
+		for _, p := range x.Data[record.Element+"@"+syslog.Enterprise] {
+			switch p[0] {
+			case record.Pilot:
+				pilot = p[1]
+			case record.Sequence:
+				seq = p[1]
+			}
+		}
+		if next[pilot]++; fmt.Sprint(next[pilot]) != seq {
+			t.Fatalf("%s: %s, not %d", pilot, seq, next[pilot])
+		}
+	}
+}
+
 func message(checkpoint int) *runtime.Message { return &runtime.Message{Checkpoint: checkpoint} }
 
 // BenchmarkDecide is a beat of the module at 200 servers and 100 proxies, some of which fail by turns, with records off, on,
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -535,6 +535,7 @@
 			p.cell.demand -= p.demand
 		}
 		a.rank(p)
+		was := p.cell
 		p.placed, p.cell = true, nil
 		at := slices.IndexFunc(p.ranked, func(c *cell) bool { return c.live })
 		if at >= 0 && a.fill(p.ranked[at], p.demand) <= a.roomy() {
@@ -543,15 +544,19 @@
 			with := func(c *cell) float64 { return a.fill(c, p.demand) }
 			p.cell = slices.MinFunc(a.cells, func(x, y *cell) int { return cmp.Compare(with(x), with(y)) })
 		}
-		p.why = a.whyPlace(p)
+		p.why = a.whyPlace(p, was)
 		if p.cell != nil {
 			p.cell.demand += p.demand
 		}
 	}
 }
 
-func (a *Assigner) whyPlace(p *proxy) control.Why {
+// whyPlace is why a proxy that was in a cell, or in none, is where it is now.
+func (a *Assigner) whyPlace(p *proxy, was *cell) control.Why {
 	switch home := p.ranked[0]; {
+	case was != nil && !was.live:
+		mute := a.now - was.answeredAt
+		return control.Why{Reason: control.CellDown, Value: mute.Seconds(), Limit: silence.Seconds()}
 	case p.cell == home:
 		return control.Why{Reason: control.Home}
 	case !home.live:
