Proxies choose pilots by rendezvous; pilots turn away, leave in order, lay tables by what differs

Need: proxies dialled any pilot by chance and without back-off; a pilot that ended dropped its proxies, one without a list or too full took all; a restart laid every table anew; a hung module hung the pilot.

Change: package fleet decides whom a proxy dials and whom a pilot lets in, free of I/O; refusals carry a hint, a leaving pilot sends its proxies away evenly, proxies knock at their first choice later. A hello says by digest what a proxy holds; the pilot asks once for what it does not know and sends only what differs. A module that does not come back ends the process with its stacks in the log.

--- a/bench/cells/main.go
+++ b/bench/cells/main.go
@@ -13,6 +13,8 @@
 	"math"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,6 +61,7 @@
 	abreast := flag.Int("abreast", 3, "days played at a time")
 	out := flag.String("out", ".", "where the results and the plot go")
 	blast := flag.Bool("blast", false, "measure the blast radius against the size of a subset instead")
+	only := flag.String("only", "", "these kinds, with commas between; the results of the others are taken from those that are there")
 	flag.Parse()
 	var jobs []result
 	vs, ks := variants, kinds
@@ -75,9 +78,29 @@
 			}
 		}
 	}
+	if *only != "" {
+		var kept []result
+		if text, err := os.ReadFile(filepath.Join(*out, "cells.json")); err == nil {
+			if err := json.Unmarshal(text, &kept); err != nil {
+				log.Fatal(err)
+			}
+		}
+		for i := range jobs {
+			if !slices.Contains(strings.Split(*only, ","), jobs[i].Kind) {
+				for _, k := range kept {
+					if k.Kind == jobs[i].Kind && k.Variant == jobs[i].Variant && k.Seed == jobs[i].Seed {
+						jobs[i] = k
+					}
+				}
+			}
+		}
+	}
 	var wg sync.WaitGroup
 	room := make(chan bool, *abreast)
 	for i := range jobs {
+		if jobs[i].Others > 0 {
+			continue
+		}
 		room <- true
 		wg.Go(func() {
 			defer func() { <-room }()
@@ -182,7 +205,7 @@
 	p.Title.Text = "Service that others lose to one misbehaving tenant"
 	p.Y.Label.Text = "lost of 1"
 	var names []string
-	var drawn []any
+	var drawn, marks []any
 	fmt.Println("| misbehaviour | all share all | subset 3 and limits | of those outside its subset | of those inside |")
 	fmt.Println("| --- | --- | --- | --- | --- |")
 	series := make([]bars, 3)
@@ -218,13 +241,13 @@
 	}
 	fmt.Printf("\nrules broken in all runs: %d\n", broken)
 	for j, name := range []string{"all share all", "subset 3, limits", "outside its subset"} {
-		drawn = append(drawn, name, series[j])
+		drawn, marks = append(drawn, name, series[j]), append(marks, series[j])
 	}
 	p.NominalX(names...)
 	if err := plotutil.AddScatters(p, drawn...); err != nil {
 		log.Fatal(err)
 	}
-	if err := plotutil.AddErrorBars(p, drawn...); err != nil {
+	if err := plotutil.AddErrorBars(p, marks...); err != nil {
 		log.Fatal(err)
 	}
 	p.Legend.Top = true
--- a/cmd/vetchdoor/daemons.go
+++ b/cmd/vetchdoor/daemons.go
@@ -52,6 +52,10 @@
 			return nil, err
 		}
 		p.Records, p.Info = l.records, l.info
+		p.Stuck = func() {
+			l.close()
+			os.Exit(exitStuck)
+		}
 		if err := p.Start(); err != nil {
 			l.close()
 			return nil, err
--- a/cmd/vetchdoor/main.go
+++ b/cmd/vetchdoor/main.go
@@ -18,6 +18,7 @@
 	exitGood   = 0
 	exitFailed = 1 // a rule broken, a check failed
 	exitBad    = 2 // bad use or bad input
+	exitStuck  = 3 // a pilot's module did not come back; start it anew
 )
 
 // failure is an error that ends the program with exitFailed; every other ends it with exitBad.
--- a/files/files.go
+++ b/files/files.go
@@ -118,11 +118,14 @@
 	Probes    bool     `json:"probes,omitempty"`
 	Tenants   bool     `json:"tenants,omitempty"` // limit tenants that harm others, by what proxies met of them
 	Moves     *Moves   `json:"moves,omitempty"`   // tenants may be moved
-	Peers     []Peer   `json:"peers,omitempty"`   // the other pilots, where they may write to each other
-	Log       []Log    `json:"log,omitempty"`     // beside standard error
-	Service   Service  `json:"service"`
-	Limits    Limits   `json:"limits"`
-	Channel   Channel  `json:"channel"`
+
+	MostProxies int      `json:"most_proxies,omitempty"` // joined at a time; others are sent to the peers. 0: any number
+	LeaveWithin Duration `json:"leave_within,omitempty"` // how long its proxies are sent away for when it ends; 0: 10 s
+	Peers       []Peer   `json:"peers,omitempty"`        // the other pilots, where they may write to each other
+	Log         []Log    `json:"log,omitempty"`          // beside standard error
+	Service     Service  `json:"service"`
+	Limits      Limits   `json:"limits"`
+	Channel     Channel  `json:"channel"`
 }
 
 // Moves are how tenants are moved between subsets.
--- a/lab/check.go
+++ b/lab/check.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -244,6 +245,7 @@
 	byType []map[control.EndpointID]bool // shared with tables
 	out    map[control.EndpointID]bool
 	token  string
+	joined map[uint64]map[control.EndpointID]bool // what it joined with, by the digests of its hello
 }
 
 func (x *holdings) apply(m *runtime.Message) {
@@ -262,6 +264,11 @@
 			table(c.Table)[c.Endpoint] = true
 		case runtime.DelServer:
 			delete(table(c.Table), c.Endpoint)
+		case runtime.AdoptTable:
+			clear(table(c.Table))
+			for e := range x.joined[c.Digest] {
+				table(c.Table)[e] = true
+			}
 		case runtime.ClearTable:
 			clear(table(c.Table))
 		case runtime.SetMap:
@@ -280,6 +287,16 @@
 	}
 }
 
+// join notes what a proxy said of its tables.
+func (x *holdings) join(h *runtime.Hello) {
+	x.joined = map[uint64]map[control.EndpointID]bool{}
+	for i, d := range h.Digests {
+		if d != 0 && i < len(x.byType) {
+			x.joined[d] = maps.Clone(x.byType[i])
+		}
+	}
+}
+
 // bare tells whether an op type has no line to pick.
 func (x *holdings) bare(opType int) bool {
 	for e := range x.byType[opType] {
@@ -326,6 +343,7 @@
 			}
 			held[s.proxy] = x
 		}
+		x.join(s.hello)
 		since := make([]time.Duration, types)
 		look := func(at time.Duration) {
 			for i := range types {
--- a/lab/tenants.go
+++ b/lab/tenants.go
@@ -19,6 +19,7 @@
 	"vetchdoor/runtime"
 	"vetchdoor/session"
 	"vetchdoor/tenancy"
+	"vetchdoor/tenancy/match"
 	"vetchdoor/upstream"
 )
 
@@ -245,6 +246,7 @@
 				byType: make([]map[control.EndpointID]bool, len(d.Service.OpTypes))}
 			held[s.proxy] = x
 		}
+		x.join(s.hello)
 		for _, m := range s.messages {
 			if m.inForce >= 0 && m.inForce <= at {
 				x.apply(m.Message)
@@ -266,12 +268,15 @@
 		}
 		return out
 	}
-	bad := map[tenancy.PodID]bool{}
+	bad, culprit := map[tenancy.PodID]bool{}, newsroom(c.Bad)
+	if c.BadHow == badNames && c.Known { // names that nobody knows are one tenant
+		culprit = match.Unknown
+	}
 	pods := map[[2]int][]tenancy.Pod{}
 	for p := range held {
 		for t := range d.Service.OpTypes {
 			pods[[2]int{p, t}] = podsOf(p, t)
-			for _, id := range (tenancy.Seat{}).Among(newsroom(c.Bad), pods[[2]int{p, t}], c.Subset) {
+			for _, id := range (tenancy.Seat{}).Among(culprit, pods[[2]int{p, t}], c.Subset) {
 				bad[id] = true
 			}
 		}
@@ -296,7 +301,9 @@
 	Lost      int           `json:"acked_lost"` // writes that were acked and took no effect
 	Wrong     int           `json:"wrong"`      // writes whose history is no order of one effect
 
-	Moving int `json:"wrong_moving"` // of those, of tenants that moved within ten seconds of it
+	P50    time.Duration `json:"acked_p50_ns"` // of the latency of acked ops, those that waited for no move
+	P99    time.Duration `json:"acked_p99_ns"`
+	Moving int           `json:"wrong_moving"` // of those, of tenants that moved within ten seconds of it
 
 	Which []WrongWrite `json:"which,omitempty"` // the first of them
 }
@@ -386,9 +393,12 @@
 	for _, x := range f.ledger.Effects() {
 		effects[x.Op] = append(effects[x.Op], x.At)
 	}
+	var acked []time.Duration
 	for _, o := range s.ops {
 		if o.held {
 			l.Held++
+		} else if o.outcome == opAcked {
+			acked = append(acked, o.latency())
 		}
 		t := &s.types[o.opType]
 		if !t.Writes {
@@ -402,6 +412,9 @@
 			explain(o)
 		}
 	}
+	if slices.Sort(acked); len(acked) > 0 {
+		l.P50, l.P99 = acked[len(acked)/2], acked[len(acked)*99/100]
+	}
 	return l
 }
 
@@ -443,8 +456,8 @@
 
 // print writes the lines for people.
 func (l *MoveLine) print(w io.Writer) {
-	fmt.Fprintf(w, "moves: %d asked (%d not taken), %d moved, %d cancelled, writes held for %v each; %d ops were told to come back\n",
-		l.Asked, l.Untaken, l.Moved, l.Cancelled, l.HeldMean.Round(time.Millisecond), l.Held)
+	fmt.Fprintf(w, "moves: %d asked (%d not taken), %d moved, %d cancelled, writes held for %v each; %d ops were told to come back; the others' acked in %v, p99 %v\n",
+		l.Asked, l.Untaken, l.Moved, l.Cancelled, l.HeldMean.Round(time.Millisecond), l.Held, l.P50.Round(time.Millisecond), l.P99.Round(time.Millisecond))
 	for _, x := range l.Which {
 		fmt.Fprintf(w, "  wrong: %s at %s: tries %q, effects %q, orders %q\n", x.Tenant, x.At, x.Tries, x.Effects, x.Moves)
 	}
--- a/pilot/admin.go
+++ b/pilot/admin.go
@@ -66,6 +66,11 @@
 		len(p.sortedList()), len(p.sessions), away, len(p.book.tables))
 	fmt.Fprintf(w, "Batches: %d\nDeciding_ms: %d\nMessages: %d\nLines: %d\nLines_waiting: %d\nLines_waiting_peak: %d\n",
 		p.batches, p.deciding.Milliseconds(), p.messages, p.lines, p.channel.waiting, p.channel.peak)
+	from := p.fresher
+	if from == "" {
+		from = "none"
+	}
+	fmt.Fprintf(w, "Lines_saved: %d\nList_from: %s\nLeaving: %t\nSent_elsewhere: %d\n", p.book.saved, from, p.leaving, p.turned)
 	fmt.Fprintf(w, "Resumed: %d\nRefused: %d\nOverflows: %d\nPanics: %d\n", p.resumed, p.refused, p.overflows, p.panics)
 	if p.Info != nil {
 		p.Info(w)
--- a/pilot/book.go
+++ b/pilot/book.go
@@ -19,6 +19,9 @@
 	out     map[control.EndpointID]bool
 	proxies map[control.ProxyID]*holder
 	limits  map[string]runtime.Change // of tenants, rates over all proxies
+
+	contents map[uint64][]runtime.Line // tables that proxies hold of earlier runs, by digest
+	saved    int                       // lines that were not sent for it
 }
 
 // sheet is one table as ordered.
@@ -32,6 +35,7 @@
 type holder struct {
 	id       control.ProxyID
 	standing map[control.EndpointID]bool
+	held     []uint64 // digests of the tables that it joined with, by op type
 	older    bool     // it holds tables of an earlier stream, whose lines are not known here
 	bound    []*sheet // by op type; nil: its standing table, or what an earlier run gave it
 	told     map[control.EndpointID]bool
@@ -45,7 +49,7 @@
 func newBook(types, head int, where func(control.EndpointID) (runtime.Server, bool)) *book {
 	return &book{where: where, types: types, head: head, tables: map[control.TableID]*sheet{},
 		all: map[int]runtime.Change{}, out: map[control.EndpointID]bool{}, proxies: map[control.ProxyID]*holder{},
-		limits: map[string]runtime.Change{}}
+		limits: map[string]runtime.Change{}, contents: map[uint64][]runtime.Line{}}
 }
 
 // join adds a proxy that is bound to nothing; number is that of the last message that this run sent it.
@@ -230,7 +234,7 @@
 			}
 		}
 	}
-	if !h.on(t) {
+	if !h.on(t) && !b.adopt(h, t, o.OpTypes) {
 		h.add(runtime.Change{Verb: runtime.ClearTable, Table: t.id})
 		for _, e := range slices.Sorted(maps.Keys(t.lines)) {
 			at, ok := b.where(e)
@@ -252,6 +256,73 @@
 	h.add(runtime.Change{Verb: runtime.SetMap, Table: t.id, OpTypes: o.OpTypes})
 }
 
+// mostContents bounds the tables of earlier runs that are kept.
+const mostContents = 256
+
+// learn takes in a table that a proxy holds.
+func (b *book) learn(t *runtime.Holding) {
+	if len(b.contents) < mostContents && runtime.Digest(t.Lines) == t.Digest {
+		b.contents[t.Digest] = t.Lines
+	}
+}
+
+// unknown returns the digests of a proxy's tables whose lines are not known.
+func (b *book) unknown(digests []uint64) (out []uint64) {
+	for _, d := range digests {
+		if _, known := b.contents[d]; d != 0 && !known && !slices.Contains(out, d) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// adopt writes a proxy a table as the one that it has for an op type already, of an earlier run, and what differs; false if
+// none is known or it would take as many lines.
+func (b *book) adopt(h *holder, t *sheet, opTypes uint16) bool {
+	var best []runtime.Change
+	for i, d := range h.held {
+		base, known := b.contents[d]
+		if d == 0 || !known || h.bound[i] != nil || opTypes != 0 && opTypes&(1<<i) == 0 {
+			continue // it goes by another table of ours since, or this is not of its op types
+		}
+		changes := []runtime.Change{{Verb: runtime.AdoptTable, Table: t.id, Digest: d}}
+		there := map[control.EndpointID]runtime.Line{}
+		for _, l := range base {
+			if there[l.Endpoint] = l; t.lines[l.Endpoint] == 0 {
+				changes = append(changes, runtime.Change{Verb: runtime.DelServer, Table: t.id, Endpoint: l.Endpoint})
+			}
+		}
+		for _, e := range slices.Sorted(maps.Keys(t.lines)) {
+			at, ok := b.where(e)
+			l, has := there[e]
+			switch {
+			case !ok && has:
+				changes = append(changes, runtime.Change{Verb: runtime.DelServer, Table: t.id, Endpoint: e})
+			case !ok:
+			case !has || l.Server != at:
+				changes = append(changes, runtime.Change{Verb: runtime.AddServer, Table: t.id, Endpoint: e, Server: at, Weight: t.lines[e]})
+			case l.Weight != t.lines[e]:
+				changes = append(changes, runtime.Change{Verb: runtime.SetWeight, Table: t.id, Endpoint: e, Weight: t.lines[e]})
+			}
+		}
+		if best == nil || len(changes) < len(best) {
+			best = changes
+		}
+	}
+	if best == nil || len(best) > len(t.lines) {
+		return false
+	}
+	b.saved += len(t.lines) + 1 - len(best)
+	for _, e := range slices.Sorted(maps.Keys(t.lines)) {
+		b.tell(h, e)
+	}
+	h.changes = append(h.changes, best...)
+	for _, i := range slices.Sorted(maps.Keys(t.levels)) {
+		h.add(t.levels[i])
+	}
+	return true
+}
+
 func (b *book) level(o control.SetLevel, joined []*holder) {
 	c := runtime.Change{Verb: runtime.SetLevel, Table: o.Table, OpTypes: o.OpTypes, Level: o.Level, Again: o.Again}
 	levels := b.all
--- /dev/null
+++ b/pilot/fleet_test.go
@@ -0,0 +1,191 @@
+package pilot
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"vetchdoor/control"
+	"vetchdoor/files"
+	stand "vetchdoor/lab/roster"
+	"vetchdoor/proxy"
+	sessions "vetchdoor/session"
+)
+
+// pair is two pilots that know each other, and proxies that know both.
+type pair struct {
+	t      *testing.T
+	list   *stand.Server
+	pilots [2]*Pilot
+	files  [2]*files.Pilot
+}
+
+func newPair(t *testing.T, change func(int, *files.Pilot)) *pair {
+	t.Helper()
+	x := &pair{t: t}
+	var err error
+	if x.list, err = stand.Start("127.0.0.1:0", entries()); err != nil {
+		t.Fatal(err)
+	}
+	for i := range x.pilots { // each must know where the other listens: a port is found first
+		f := pilotFile(x.list.Address())
+		f.Name, f.Instance, f.Instances = fmt.Sprint("p", i), i, 2
+		x.files[i] = f
+		p, err := New(f, slog.New(slog.DiscardHandler))
+		if err == nil {
+			err = p.Start()
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Listen = p.Address()
+		p.Kill()
+	}
+	for i := range x.pilots {
+		x.files[i].Peers = []files.Peer{{Instance: 1 - i, Address: x.files[1-i].Listen}}
+		x.files[i].LeaveWithin = files.Duration(300 * time.Millisecond)
+		if change != nil {
+			change(i, x.files[i])
+		}
+		x.start(i)
+	}
+	t.Cleanup(func() {
+		for _, p := range x.pilots {
+			p.Kill()
+		}
+		x.list.Close()
+	})
+	return x
+}
+
+func (x *pair) start(i int) {
+	x.t.Helper()
+	p, err := New(x.files[i], slog.New(slog.DiscardHandler))
+	if err == nil {
+		err = p.Start()
+	}
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	x.pilots[i] = p
+}
+
+func (x *pair) proxies(n int) (out []*proxy.Proxy) {
+	x.t.Helper()
+	for id := range n {
+		f := &files.Proxy{Kind: "proxy", ID: uint16(id), Zone: "z", Listen: "127.0.0.1:0", Redial: files.Duration(10 * time.Millisecond), Service: service(),
+			Silent: files.Duration(400 * time.Millisecond)}
+		for _, p := range x.files {
+			f.Pilots = append(f.Pilots, files.PilotAddress{Address: p.Listen, Zone: "z"})
+		}
+		p, err := proxy.New(f, slog.New(slog.DiscardHandler))
+		if err == nil {
+			err = p.Start()
+		}
+		if err != nil {
+			x.t.Fatal(err)
+		}
+		x.t.Cleanup(p.Kill)
+		out = append(out, p)
+	}
+	return out
+}
+
+func (x *pair) info(i int, want string) bool {
+	s, err := sessions.Ask(x.pilots[i].AdminAddress(), "show info", 10*time.Second)
+	return err == nil && strings.Contains(s, want)
+}
+
+func (x *pair) until(what string, ok func() bool) {
+	x.t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			x.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func (x *pair) joined(a, b int) func() bool {
+	return func() bool {
+		return x.info(0, fmt.Sprintf("\nProxies: %d\n", a)) && x.info(1, fmt.Sprintf("\nProxies: %d\n", b))
+	}
+}
+
+// A pilot that is full sends proxies to the other, and none is without one.
+func TestFull(t *testing.T) {
+	x := newPair(t, func(i int, f *files.Pilot) { f.MostProxies = 6 })
+	x.proxies(12)
+	x.until("six each", x.joined(6, 6))
+}
+
+// A pilot that ends sends its proxies to the other first; once it is back those whose home it is come home by and by, and
+// nobody is refused on the way.
+func TestRolling(t *testing.T) {
+	x := newPair(t, nil)
+	all := x.proxies(12)
+	sum := func() bool {
+		for a := range 13 {
+			if x.joined(a, 12-a)() {
+				return true
+			}
+		}
+		return false
+	}
+	x.until("all joined", sum)
+	x.pilots[0].Stop()
+	x.until("all at the other", func() bool { return x.info(1, "\nProxies: 12\n") })
+	for _, p := range all {
+		if info := p.Info(); !strings.Contains(info, "\nPilot: p1\n") && !strings.Contains(info, "Joined: true") {
+			t.Errorf("%s", info)
+		}
+	}
+	x.start(0)
+	x.until("some come home", func() bool { return x.info(0, "\nProxies: ") && !x.info(0, "\nProxies: 0\n") })
+	x.until("all are somewhere", sum)
+}
+
+// A module that does not come back is noticed while proxies still take the pilot for alive.
+func TestStuck(t *testing.T) {
+	f := pilotFile("127.0.0.1:1")
+	f.Silent = files.Duration(200 * time.Millisecond)
+	p, err := New(f, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	release, noticed := make(chan bool), make(chan time.Time, 1)
+	p.newDecider = func() decider { return hanging(release) }
+	p.Stuck = func() { noticed <- time.Now() }
+	begin := time.Now()
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if took := (<-noticed).Sub(begin); took < 100*time.Millisecond {
+		t.Errorf("noticed after %v", took)
+	}
+	close(release)
+	p.Kill()
+}
+
+type hanging chan bool
+
+func (h hanging) Decide(time.Duration, []control.Event) []control.Order {
+	<-h
+	return nil
+}
+
+// A pilot with no list at all sends proxies to another that has one; alone it takes them.
+func TestNoListYet(t *testing.T) {
+	x := newPair(t, func(i int, f *files.Pilot) {
+		if i == 0 {
+			f.Roster = "127.0.0.1:1"
+		}
+	})
+	x.until("the other has its list", func() bool { return x.info(1, "\nList_from: list\n") })
+	x.proxies(4)
+	x.until("all at the one with a list", x.joined(0, 4))
+	if !x.info(0, "\nList_from: none\n") {
+		t.Error("a list from nowhere")
+	}
+}
--- a/pilot/list.go
+++ b/pilot/list.go
@@ -52,7 +52,7 @@
 		}
 		p.list[e.Endpoint] = e
 	}
-	p.version = u.Version
+	p.version, p.fresher = u.Version, "list"
 	p.event(control.Listing{Kind: kind, Entries: p.entries(known)})
 	for _, id := range moved {
 		p.queue(p.now(), p.book.moved(id))
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -9,8 +9,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	goruntime "runtime"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -19,6 +21,7 @@
 
 	"vetchdoor/control"
 	"vetchdoor/files"
+	"vetchdoor/fleet"
 	"vetchdoor/http1"
 	"vetchdoor/policy"
 	"vetchdoor/roster"
@@ -45,20 +48,25 @@
 	// Records, if not nil at Start, gets a record of each decision; it must not hold up who logs.
 	Records *slog.Logger
 
+	// Stuck, if not nil at Start, is called once when the module has not come back for half of the time after which proxies
+	// take the pilot for silent. Nothing in this process can mend that; the program ends, and a new one starts over.
+	Stuck func()
+
 	// Info, if not nil at Start, adds lines to show info.
 	Info func(io.Writer)
 
-	inbox   chan func()
-	stop    chan struct{}
-	stopped chan struct{}
-	ending  sync.Once
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
-	ln      *stream.Listener
-	admin   *sessions.Listener
-	probes  *upstream.Pool
-	probing atomic.Int64
-	noting  atomic.Int64
+	inbox    chan func()
+	stop     chan struct{}
+	stopped  chan struct{}
+	ending   sync.Once
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	ln       *stream.Listener
+	admin    *sessions.Listener
+	probes   *upstream.Pool
+	probing  atomic.Int64
+	noting   atomic.Int64
+	inModule atomic.Int64 // when the module was last called, since born; 0: it came back
 
 	// What follows is the loop's own.
 	newDecider   func() decider
@@ -72,6 +80,9 @@
 	loads        map[tenancy.PodID]*[2]float64 // what servers said since the last look: sum and number
 	mover        *mover                        // nil: tenants are not moved
 	records      *recorder
+	fresher      string // where the list is from: list, cache, or nowhere
+	leaving      bool   // it ends: proxies are sent to others
+	turned       uint64 // hellos that were sent elsewhere
 	events       []control.Event
 	batch        *time.Timer // set while events wait for their tick
 	pace         *time.Timer // set while a message waits for its time
@@ -132,7 +143,10 @@
 		for _, e := range entries {
 			p.list[e.Endpoint] = e
 		}
-		p.version = version
+		if p.version = version; len(entries) > 0 {
+			p.fresher = "cache"
+			p.log.Warn("runs by its cached list until the list service is heard", "version", version, "servers", len(entries))
+		}
 		p.saver = newSaver(p.file.Cache, p.log)
 	}
 	if err := p.openMoves(); err != nil {
@@ -160,8 +174,9 @@
 			return err
 		}
 	}
-	p.done.Add(1)
+	p.done.Add(2)
 	go func() { defer p.done.Done(); p.source.Run(ctx) }()
+	go func() { defer p.done.Done(); p.guard(ctx) }()
 	p.log.Info("pilot runs", "listen", p.ln.Address(), "run", p.run, "list", len(p.list)) // before the loop owns the list
 	go p.loop()
 	return nil
@@ -179,8 +194,10 @@
 }
 
 // Stop ends the pilot in order: no new proxies, streams closed once what left the channel is written.
+// Where there are other pilots its proxies are sent to them first, a few at a time.
 func (p *Pilot) Stop() {
 	p.ending.Do(func() {
+		p.leave()
 		p.cancel()
 		ended := make(chan struct{})
 		if p.post(func() {
@@ -197,6 +214,45 @@
 	})
 }
 
+// leaveStep is how often some are sent away.
+const leaveStep = 50 * time.Millisecond
+
+// leave sends the proxies to other pilots, evenly, within the time that the file gives.
+func (p *Pilot) leave() {
+	all := p.file.LeaveWithin.Span()
+	if all <= 0 {
+		all = usualLeave
+	}
+	end := time.Now().Add(all)
+	for left := all; left > 0 && len(p.file.Peers) > 0; left = time.Until(end) {
+		gone := make(chan bool, 1)
+		if !p.post(func() { gone <- p.sendSome(left, all) }) || <-gone {
+			return
+		}
+		time.Sleep(leaveStep)
+	}
+}
+
+// sendSome sends some proxies away and tells whether none is left.
+func (p *Pilot) sendSome(left, all time.Duration) bool {
+	p.leaving = true
+	var here []*session
+	for _, id := range slices.Sorted(maps.Keys(p.sessions)) {
+		if s := p.sessions[id]; s.conn != nil {
+			here = append(here, s)
+		}
+	}
+	door := p.door()
+	for _, s := range here[:fleet.Leave(len(here), left, all, leaveStep)] {
+		_ = s.conn.conn.Send(runtime.GoAway{Joined: true, Try: door.Hello(proxyName(s.id), 0).Hint}.Append(nil))
+		p.drop(s)
+	}
+	return len(here) == 0
+}
+
+// usualLeave is how long proxies are sent away for.
+const usualLeave = 10 * time.Second
+
 // Kill ends the pilot as a killed process would: nothing is said, nothing written.
 func (p *Pilot) Kill() {
 	p.ending.Do(func() {
@@ -344,9 +400,35 @@
 				"stack", string(debug.Stack()))
 		}
 	}()
+	p.inModule.Store(max(1, int64(p.now())))
+	defer p.inModule.Store(0)
 	return p.assigner.Decide(now, events), nil
 }
 
+// guard watches the module from beside the loop.
+func (p *Pilot) guard(ctx context.Context) {
+	t := time.NewTicker(max(p.silent/40, time.Millisecond))
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		since := time.Duration(p.inModule.Load())
+		if since == 0 || p.now()-since < p.silent/2 {
+			continue
+		}
+		stacks := make([]byte, 64<<10)
+		stacks = stacks[:goruntime.Stack(stacks, true)]
+		p.log.Error("the module does not come back; this process must end", "for", p.now()-since, "stacks", string(stacks))
+		if p.Stuck != nil {
+			p.Stuck()
+		}
+		return
+	}
+}
+
 // describe writes events for the log, the first of them whole.
 func describe(events []control.Event) string {
 	const most = 4096
--- a/pilot/streams.go
+++ b/pilot/streams.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
 	"vetchdoor/control"
 	"vetchdoor/files"
+	"vetchdoor/fleet"
 	"vetchdoor/runtime"
 	"vetchdoor/stream"
 	"vetchdoor/tenancy"
@@ -24,6 +26,9 @@
 	awayFor     int   // counts breaks, so that an old timer knows itself for one
 	sent        []outgoing
 	unconfirmed int             // lines of sent
+	digests     []uint64        // of the tables that it joined with
+	standing    bool            // it joined with its standing tables alone
+	announced   bool            // the module was told that it joined
 	bindings    []tenancy.Order // of tenants, to be sent
 }
 
@@ -90,6 +95,10 @@
 		p.hello(w, h)
 		return
 	}
+	if k, ok := block.(runtime.Knock); ok && !w.known {
+		p.knocked(w, k)
+		return
+	}
 	if n, ok := block.(runtime.Note); ok && !w.known {
 		p.noted(w, n)
 		return
@@ -110,6 +119,13 @@
 		p.refused++
 		p.records.refused(s.id, b.Reason)
 		p.drop(s)
+	case *runtime.Holding:
+		p.book.learn(b)
+		for _, id := range slices.Sorted(maps.Keys(p.sessions)) {
+			if x := p.sessions[id]; !x.announced && len(p.book.unknown(x.digests)) == 0 {
+				p.announce(x)
+			}
+		}
 	case *runtime.Sums:
 		p.intake.add(p.now(), s.id, s.zone, b)
 		p.used(b)
@@ -119,8 +135,32 @@
 // reject closes a stream that did not keep to the rules.
 func (p *Pilot) reject(w *wire, why string) {
 	p.log.Warn("stream refused", "remote", w.conn.Remote(), "reason", why)
+	p.sendAway(w, runtime.GoAway{Why: why})
+}
+
+func (p *Pilot) sendAway(w *wire, g runtime.GoAway) {
+	delete(p.wires, w)
+	_ = w.conn.Send(g.Append(nil))
+	w.conn.End()
+}
+
+// door is whom this pilot lets in now. Without a list it lets in whoever has nowhere else to go.
+func (p *Pilot) door() *fleet.Door {
+	d := &fleet.Door{Most: p.file.MostProxies, Leaving: p.leaving, Ready: p.fresher != "" || len(p.file.Peers) == 0}
+	for _, x := range p.file.Peers {
+		d.Others = append(d.Others, x.Address)
+	}
+	return d
+}
+
+// knocked tells a proxy whether it would be let in.
+func (p *Pilot) knocked(w *wire, k runtime.Knock) {
+	if a := p.door().Hello(proxyName(k.Proxy), len(p.sessions)); !a.In {
+		p.sendAway(w, runtime.GoAway{Why: a.Why, Try: a.Hint})
+		return
+	}
 	delete(p.wires, w)
-	_ = w.conn.Send(fmt.Appendf(nil, "refused %s\n", runtime.Quote(why)))
+	_ = w.conn.Send([]byte(runtime.Room + "\n"))
 	w.conn.End()
 }
 
@@ -131,6 +171,12 @@
 		return
 	}
 	s := p.sessions[h.Proxy]
+	if a := p.door().Hello(proxyName(h.Proxy), len(p.sessions)); !a.In && (s == nil || p.leaving) {
+		p.turned++
+		p.log.Info("proxy sent to another pilot", "proxy", h.Proxy, "reason", a.Why, "try", a.Hint)
+		p.sendAway(w, runtime.GoAway{Why: a.Why, Try: a.Hint})
+		return
+	}
 	if s != nil && s.token != h.Token && s.conn != nil {
 		p.reject(w, fmt.Sprintf("proxy %d is joined already, as another", h.Proxy))
 		return
@@ -154,7 +200,8 @@
 			last = max(last, h.Number)
 		}
 		p.book.join(h.Proxy, h.Standing, h.Pilot != "-", last)
-		p.event(control.Joined{Proxy: h.Proxy, Zone: h.Zone, Rate: h.Rate, Standing: h.Pilot == "-"})
+		p.book.proxies[h.Proxy].held = h.Digests
+		s.digests, s.standing = h.Digests, h.Pilot == "-"
 	} else {
 		p.resumed++
 	}
@@ -168,11 +215,38 @@
 		p.move(tenancy.Event{Joined: &tenancy.Joined{Proxy: tenancy.ProxyID(h.Proxy), Has: has}})
 	}
 	p.records.joined(s, resume)
+	if !resume {
+		defer p.meet(s)
+	}
 	_ = w.conn.Send(runtime.Welcome{Pilot: p.file.Name, Run: p.run, Resumed: resume}.Append(nil))
 	p.log.Info("proxy joined", "proxy", s.id, "zone", s.zone, "resumed", resume)
 	p.pump()
 }
 
+// meetWithin is how long a proxy's tables are waited for before it counts as joined; one that does not send them is laid its
+// tables whole.
+const meetWithin = 300 * time.Millisecond
+
+// meet asks a proxy for what it holds, if nobody has told it yet, and has the module told of it.
+func (p *Pilot) meet(s *session) {
+	unknown := p.book.unknown(s.digests)
+	if len(unknown) == 0 {
+		p.announce(s)
+		return
+	}
+	_ = s.conn.conn.Send(runtime.Ask(unknown).Append(nil))
+	time.AfterFunc(meetWithin, func() { p.post(func() { p.announce(s) }) })
+}
+
+// announce tells the module that a proxy joined.
+func (p *Pilot) announce(s *session) {
+	if s.announced || p.sessions[s.id] != s {
+		return
+	}
+	s.announced = true
+	p.event(control.Joined{Proxy: s.id, Zone: s.zone, Rate: s.rate, Standing: s.standing})
+}
+
 // resume puts what the proxy has not applied back into the channel; false if it cannot go on where it was.
 func (p *Pilot) resume(s *session, applied uint64) bool {
 	for len(s.sent) > 0 && s.sent[0].Number <= applied {
@@ -245,7 +319,9 @@
 	p.intake.forget(s.id)
 	p.away(s.id)
 	p.records.left(s.id)
-	p.event(control.Left{Proxy: s.id})
+	if s.announced {
+		p.event(control.Left{Proxy: s.id})
+	}
 }
 
 // away tells the mover that a proxy cannot be told anything now.
--- a/proxy/orders.go
+++ b/proxy/orders.go
@@ -5,10 +5,12 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
 	"vetchdoor/control"
+	"vetchdoor/fleet"
 	"vetchdoor/runtime"
 	"vetchdoor/stream"
 )
@@ -19,12 +21,12 @@
 // orders is the proxy's stream to its pilot: it dials one, in its own zone first, takes messages, applies them in order
 // and confirms each. The tables stand while there is no stream.
 type orders struct {
-	proxy *Proxy
-	log   *slog.Logger
-	rng   *rand.Rand
-	mu    sync.Mutex
-	up    *link // the stream that has been welcomed
-	ended bool
+	proxy  *Proxy
+	log    *slog.Logger
+	choice *fleet.Choice // the dialler's own
+	mu     sync.Mutex
+	up     *link // the stream that has been welcomed
+	ended  bool
 }
 
 // link is one stream.
@@ -34,6 +36,7 @@
 	scan    *runtime.Scanner
 	pilot   runtime.Welcome
 	greeted bool
+	hint    string                // another pilot that this one said to go to
 	queue   chan *runtime.Message // taken in, not yet applied
 	mu      sync.Mutex
 	held    int // lines in the queue
@@ -42,53 +45,51 @@
 }
 
 func newOrders(p *Proxy) *orders {
-	return &orders{proxy: p, log: p.log, rng: rand.New(rand.NewPCG(p.rng.Uint64(), p.rng.Uint64()))}
-}
-
-// dialOrder is the pilots' addresses, those of the own zone first, else as they stand in the file, begun anywhere.
-func (o *orders) dialOrder() []string {
-	var near, far []string
-	for _, at := range o.proxy.file.Pilots {
-		if at.Zone == o.proxy.file.Zone {
-			near = append(near, at.Address)
-		} else {
-			far = append(far, at.Address)
-		}
+	var pilots []fleet.At
+	for _, at := range p.file.Pilots {
+		pilots = append(pilots, fleet.At{Address: at.Address, Zone: at.Zone})
 	}
-	for _, l := range [][]string{near, far} {
-		o.rng.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	mean := p.file.Redial.Span()
+	if mean <= 0 {
+		mean = usualRedial
 	}
-	return append(near, far...)
+	rng := rand.New(rand.NewPCG(p.rng.Uint64(), p.rng.Uint64()))
+	return &orders{proxy: p, log: p.log, choice: fleet.NewChoice(strconv.Itoa(int(p.file.ID)), p.file.Zone, pilots, fleet.Waits{Redial: mean}, rng)}
 }
 
+// usualRedial is the mean wait between rounds of dials, the first time.
+const usualRedial = 500 * time.Millisecond
+
 // run keeps a stream up until the context ends.
 func (o *orders) run(ctx context.Context) {
-	mean := o.proxy.file.Redial.Span()
-	if mean <= 0 {
-		mean = 500 * time.Millisecond
+	sleep := func(d time.Duration) {
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+		}
 	}
 	for ctx.Err() == nil {
-		for _, address := range o.dialOrder() {
-			if ctx.Err() != nil || o.serve(ctx, address) {
-				break
-			}
+		address, wait := o.choice.Dial()
+		if sleep(wait); address == "" || ctx.Err() != nil {
+			continue
 		}
-		wait := time.Duration(float64(mean) * (0.5 + o.rng.Float64()))
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
+		welcomed, hint := o.serve(ctx, address)
+		if !welcomed {
+			o.choice.Failed(hint)
+			continue
 		}
+		sleep(o.choice.Down(time.Since(o.proxy.started), hint))
 	}
 }
 
-// serve holds one stream until it breaks; it tells whether the pilot had welcomed this proxy.
-func (o *orders) serve(ctx context.Context, address string) bool {
+// serve holds one stream until it breaks; it tells whether the pilot had welcomed this proxy, and where it said to go.
+func (o *orders) serve(ctx context.Context, address string) (welcomed bool, hint string) {
 	l := &link{o: o, scan: runtime.NewScanner(runtime.Orders), queue: make(chan *runtime.Message, 1024),
 		closed: make(chan struct{}), last: time.Now()}
 	conn, err := stream.Dial(address, 2*time.Second, l)
 	if err != nil {
 		o.log.Debug("pilot not reached", "address", address, "error", err)
-		return false
+		return false, ""
 	}
 	l.mu.Lock()
 	l.conn = conn
@@ -97,7 +98,7 @@
 	p.mu.Lock()
 	t := p.now.Load()
 	h := runtime.Hello{Proxy: control.ProxyID(p.file.ID), Token: p.token, Zone: p.zone, Rate: p.file.Rate, Pilot: t.pilot, Run: t.run,
-		Number: t.number, Window: window, Standing: p.standing, Bound: t.bindings.pilot, BoundTo: t.bindings.upTo}
+		Number: t.number, Window: window, Standing: p.standing, Digests: t.digests(), Bound: t.bindings.pilot, BoundTo: t.bindings.upTo}
 	p.mu.Unlock()
 	if h.Pilot == "" {
 		h.Pilot = "-"
@@ -130,12 +131,18 @@
 				conn.Close()
 				up = false
 			}
+			if home, ok := o.choice.Home(time.Since(p.started)); ok && up && o.knock(home) {
+				o.log.Info("the first choice of pilots is there again", "address", home)
+				o.choice.GoHome()
+				conn.Close()
+				up = false
+			}
 		}
 	}
 	<-l.closed
 	<-applied // what was taken in of an old stream is applied or dropped before a new hello says what is held
 	o.mu.Lock()
-	welcomed := l.greeted
+	welcomed, hint = l.greeted, l.hint
 	if o.up == l {
 		o.up = nil
 	}
@@ -143,9 +150,45 @@
 	if welcomed && ctx.Err() == nil {
 		o.log.Info("stream to the pilot broke; tables stand", "address", address)
 	}
-	return welcomed
+	return welcomed, hint
+}
+
+// knock asks a pilot whether it would take this proxy.
+func (o *orders) knock(address string) bool {
+	k := &knocking{scan: runtime.NewScanner(runtime.Orders), answer: make(chan bool, 1)}
+	conn, err := stream.Dial(address, time.Second, k)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.Send(runtime.Knock{Proxy: control.ProxyID(o.proxy.file.ID)}.Append(nil))
+	select {
+	case room := <-k.answer:
+		return room
+	case <-time.After(time.Second):
+		return false
+	}
+}
+
+// knocking is a stream on which a proxy asks.
+type knocking struct {
+	scan   *runtime.Scanner
+	answer chan bool
+	once   sync.Once
 }
 
+func (k *knocking) Data(c *stream.Conn, b []byte) {
+	k.scan.Feed(b)
+	if line, ok, err := k.scan.Next(); ok || err != nil {
+		k.say(ok && line[0].Is(runtime.Room))
+	}
+}
+
+// Closed is no room.
+func (k *knocking) Closed(*stream.Conn) { k.say(false) }
+
+func (k *knocking) say(room bool) { k.once.Do(func() { k.answer <- room }) }
+
 // joined tells whether a pilot has welcomed the proxy.
 func (o *orders) joined() bool {
 	o.mu.Lock()
@@ -212,6 +255,29 @@
 		l.o.mu.Unlock()
 		l.o.log.Info("joined a pilot", "pilot", w.Pilot, "run", w.Run, "resumed", w.Resumed)
 		return nil
+	case cmd.Is("refused"), cmd.Is("away"):
+		g, err := runtime.ParseGoAway(cmd)
+		if err != nil {
+			return err
+		}
+		l.o.mu.Lock()
+		l.hint = g.Try
+		l.o.mu.Unlock()
+		l.o.log.Info("sent away by the pilot", "reason", g.Why, "try", g.Try)
+		c.Close()
+		return nil
+	case cmd.Is("send", "tables"):
+		a, err := runtime.ParseAsk(cmd)
+		if err != nil {
+			return err
+		}
+		now := l.o.proxy.now.Load()
+		for _, d := range a {
+			if x := now.holding(d); x != nil {
+				_ = c.Send((&runtime.Holding{Digest: d, Lines: x.content()}).Append(nil))
+			}
+		}
+		return nil
 	case cmd.Is("ping"):
 		return nil // that it came is all there is to it
 	case cmd.Is("apply"):
--- a/proxy/tables.go
+++ b/proxy/tables.go
@@ -41,6 +41,45 @@
 	levels map[int]level
 	picks  []*picker // by op type
 	drawn  *drawn    // subsets of tenants among its servers
+
+	once   sync.Once
+	digest uint64
+}
+
+// content is its lines as the wire bears them.
+func (t *table) content() (out []runtime.Line) {
+	for _, l := range t.lines {
+		out = append(out, runtime.Line{Endpoint: l.server.id, Server: l.server.Server, Weight: l.weight})
+	}
+	return out
+}
+
+// tells is its digest.
+func (t *table) tells() uint64 {
+	t.once.Do(func() { t.digest = runtime.Digest(t.content()) })
+	return t.digest
+}
+
+// digests are those of the tables that op types go by; 0 for the standing one.
+func (t *tables) digests() (out []uint64) {
+	for _, x := range t.byType {
+		if x == t.standing {
+			out = append(out, 0)
+		} else {
+			out = append(out, x.tells())
+		}
+	}
+	return out
+}
+
+// holding returns the table with a digest that an op type goes by; nil if there is none.
+func (t *tables) holding(digest uint64) *table {
+	for _, x := range t.byType {
+		if x != t.standing && x.tells() == digest {
+			return x
+		}
+	}
+	return nil
 }
 
 // level is how much of an op type is let in and how tries are repeated.
@@ -180,7 +219,7 @@
 		}
 		return nil
 	}
-	levels := map[control.TableID]map[int]level{}
+	levels, adopted := map[control.TableID]map[int]level{}, map[control.TableID]*table{}
 	var bound []runtime.Change
 	each := func(mask uint16, f func(int)) error {
 		if mask>>types != 0 {
@@ -221,6 +260,14 @@
 				l = slices.Delete(l, at, at+1)
 			}
 			lines[c.Table] = l
+		case runtime.AdoptTable:
+			from := t.holding(c.Digest)
+			if from == nil {
+				err = fmt.Errorf("no op type goes by a table of digest %x", c.Digest)
+				break
+			}
+			lines[c.Table], levels[c.Table] = slices.Clone(from.lines), map[int]level{}
+			adopted[c.Table] = from
 		case runtime.ClearTable:
 			lines[c.Table], levels[c.Table] = nil, map[int]level{}
 		case runtime.SetState:
@@ -270,7 +317,11 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(lines)) {
 		old := n.named[id]
-		changed := newTable(fmt.Sprintf("t%d", id), lines[id], old, types, time.Since(s.born), rng)
+		before := old
+		if adopted[id] != nil {
+			before = adopted[id]
+		}
+		changed := newTable(fmt.Sprintf("t%d", id), lines[id], before, types, time.Since(s.born), rng)
 		if levels[id] != nil {
 			changed.levels = levels[id]
 		}
--- a/runtime/block.go
+++ b/runtime/block.go
@@ -57,6 +57,7 @@
 	Number   uint64               // the last message applied, of that run
 	Window   int                  // lines that may be on their way to it, not confirmed
 	Standing []control.EndpointID // its standing table
+	Digests  []uint64             // of the tables that op types go by; 0: a standing one. Empty: the proxy does not say
 	Bound    string               // the pilot whose bindings of tenants it has; empty: none's
 	BoundTo  uint64               // it has all of them up to this number
 }
@@ -74,6 +75,9 @@
 	if len(h.Standing) == 0 {
 		b = append(b, '-')
 	}
+	if len(h.Digests) > 0 {
+		b = appendDigests(append(b, " digests "...), h.Digests)
+	}
 	if h.Bound != "" {
 		b = strconv.AppendUint(append(append(append(b, " bound "...), Quote(h.Bound)...), ' '), h.BoundTo, 10)
 	}
@@ -185,7 +189,7 @@
 	return n
 }
 
-// ParseBlock reads a block: *Hello, InForce, Refused, *Sums or Note.
+// ParseBlock reads a block: *Hello, Knock, *Holding, InForce, Refused, *Sums or Note.
 func ParseBlock(lines []string) (any, error) {
 	scan := Scanner{bounds: Orders}
 	words := func(line string) (*wordReader, error) {
@@ -203,7 +207,7 @@
 		return nil, err
 	}
 	kind := w.take()
-	if kind != "sums" && len(lines) > 1 {
+	if kind != "sums" && kind != "table" && len(lines) > 1 {
 		return nil, fmt.Errorf("%q has one line, not %d", kind, len(lines))
 	}
 	var block any
@@ -212,6 +216,25 @@
 		block = w.hello()
 	case "note":
 		block = w.note()
+	case "table":
+		t := &Holding{}
+		if d, err := strconv.ParseUint(w.take(), 16, 64); err != nil {
+			w.fail("no digest")
+		} else {
+			t.Digest = d
+		}
+		for _, line := range lines[1:] {
+			l, err := words(line)
+			if err == nil {
+				err = l.line(t)
+			}
+			if err != nil {
+				return nil, fmt.Errorf("%.60q: %w", line, err)
+			}
+		}
+		block = t
+	case "knock":
+		block = Knock{control.ProxyID(w.uint("proxy", math.MaxUint16))}
 	case "in-force":
 		f := InForce{Run: w.uint("run", math.MaxUint64), Number: w.uint("number", math.MaxUint64), Checkpoint: -1}
 		if len(w.words) > 0 && w.words[0] == "checkpoint" {
@@ -271,6 +294,10 @@
 			h.Standing = append(h.Standing, control.EndpointID(n))
 		}
 	}
+	if len(w.words) > 0 && w.words[0] == "digests" {
+		w.take()
+		h.Digests = w.digests()
+	}
 	if len(w.words) > 0 {
 		w.expect("bound")
 		h.Bound, h.BoundTo = w.take(), w.uint("number", math.MaxUint64)
@@ -318,6 +345,50 @@
 	return name
 }
 
+// Knock asks a pilot whether it would take a proxy, on a stream of its own; Room or a GoAway answers it.
+type Knock struct{ Proxy control.ProxyID }
+
+// Append appends the block.
+func (k Knock) Append(b []byte) []byte { return fmt.Appendf(b, "knock %d\n\n", k.Proxy) }
+
+// Room is the command that answers a knock where there is room.
+const Room = "room"
+
+// GoAway is a pilot's command to a proxy that it does not take, or keeps no longer.
+type GoAway struct {
+	Joined bool   // it was let in before
+	Why    string // else why not
+	Try    string // the address of another pilot; empty: none is known
+}
+
+// Append appends the command.
+func (g GoAway) Append(b []byte) []byte {
+	if b = append(b, "away"...); !g.Joined {
+		b = append(append(b[:len(b)-len("away")], "refused "...), Quote(g.Why)...)
+	}
+	if g.Try != "" {
+		b = append(append(b, " try "...), Quote(g.Try)...)
+	}
+	return append(b, '\n')
+}
+
+// ParseGoAway reads one.
+func ParseGoAway(c Command) (GoAway, error) {
+	w := &wordReader{words: c.Words}
+	g := GoAway{Joined: c.Is("away")}
+	if w.take(); !g.Joined {
+		g.Why = w.take()
+	}
+	if len(w.words) > 0 {
+		w.expect("try")
+		g.Try = w.take()
+	}
+	if w.err == nil && len(w.words) > 0 {
+		w.fail("%q is too much", w.words[0])
+	}
+	return g, w.err
+}
+
 // Welcome is the pilot's answer to a hello, a command line of its own.
 type Welcome struct {
 	Pilot   string
--- a/runtime/change.go
+++ b/runtime/change.go
@@ -27,6 +27,7 @@
 	SetLevel                      // how much of op types is let in, and how tries are repeated
 	SetTenant                     // what a tenant may use: Rate, Tries, Fenced
 	SetBinding                    // where a tenant is: Number, Seat, Held
+	AdoptTable                    // a table begins as the one with Digest that an op type goes by
 	ClearBindings                 // bindings of other pilots, and those up to Number, go
 )
 
@@ -47,7 +48,8 @@
 	Fenced   bool    // to one pod of its subset alone
 	Hand     float64 // ops in hand at this proxy at a time; below 0: no limit
 	Room     float64 // times the pods that its subset has by itself
-	Number   uint64  // of a binding, among those of its pilot
+	Digest   uint64
+	Number   uint64 // of a binding, among those of its pilot
 	Seat     tenancy.Seat
 	Held     bool // writes are refused with a time to come back
 }
@@ -116,6 +118,9 @@
 		if b = append(b, " hold off"...); c.Held {
 			b = append(b[:len(b)-len("off")], "on"...)
 		}
+	case AdoptTable:
+		b = appendTable(append(b, "adopt table "...), c.Table)
+		b = strconv.AppendUint(append(b, " digest "...), c.Digest, 16)
 	case ClearBindings:
 		b = strconv.AppendUint(append(b, "clear bindings up-to "...), c.Number, 10)
 	}
@@ -218,6 +223,14 @@
 		c.Number = w.uint("number", math.MaxUint64)
 		c.Seat = w.seat()
 		c.Held = w.onOff("hold")
+	case "adopt table":
+		c.Verb = AdoptTable
+		c.Table = w.table(w.take(), false)
+		w.expect("digest")
+		d, err := strconv.ParseUint(w.take(), 16, 64)
+		if c.Digest = d; err != nil {
+			w.fail("no digest")
+		}
 	case "clear bindings":
 		c.Verb = ClearBindings
 		w.expect("up-to")
--- a/runtime/runtime_test.go
+++ b/runtime/runtime_test.go
@@ -103,6 +103,7 @@
 		{Verb: SetBinding, Tenant: "a <<", Number: 1 << 63, Seat: tenancy.Seat{Draw: 3, Size: 2, Pods: []tenancy.PodID{1<<16 | 7, 9}}, Held: true},
 		{Verb: SetBinding, Tenant: "", Number: 1},
 		{Verb: ClearBindings, Number: 12},
+		{Verb: AdoptTable, Table: 4, Digest: 1<<63 + 5},
 	}
 }
 
