Pilots hear of each other for people alone; wire versions are said and later ones passed over

Need: nobody could see the fleet from one place; an old binary beside a new one closed streams over words that it did not know.

Change: package members, a gossip by memberlist, always encrypted, keys rotated by command, addresses limited to networks; show fleet, show peers; hello and welcome say the wire's version, and what a later one adds is passed over.

--- a/files/files.go
+++ b/files/files.go
@@ -119,6 +119,8 @@
 	Tenants   bool     `json:"tenants,omitempty"` // limit tenants that harm others, by what proxies met of them
 	Moves     *Moves   `json:"moves,omitempty"`   // tenants may be moved
 
+	Members *Members `json:"members,omitempty"` // gossip among pilots, for people
+
 	MostProxies int      `json:"most_proxies,omitempty"` // joined at a time; others are sent to the peers. 0: any number
 	LeaveWithin Duration `json:"leave_within,omitempty"` // how long its proxies are sent away for when it ends; 0: 10 s
 	Peers       []Peer   `json:"peers,omitempty"`        // the other pilots, where they may write to each other
@@ -135,6 +137,14 @@
 	Abreast int      `json:"abreast,omitempty"` // moves at a time; 0: 64
 }
 
+// Members is how a pilot hears of others, for people.
+type Members struct {
+	Bind   string   `json:"bind"`             // IP:PORT, UDP and TCP
+	Others []string `json:"others,omitempty"` // where others are to be found at the start
+	Keys   string   `json:"keys"`             // a file: the base64 of 32 bytes a line, the first one writes
+	Allow  []string `json:"allow,omitempty"`  // networks that are heard; empty: loopback
+}
+
 // Peer is another pilot: its place among the instances, and where it listens.
 type Peer struct {
 	Instance int    `json:"instance"`
--- /dev/null
+++ b/pilot/fleet.go
@@ -0,0 +1,106 @@
+package pilot
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"vetchdoor/members"
+	"vetchdoor/runtime"
+)
+
+// startMembers takes part in the gossip of pilots. It is for people alone: nothing that it says becomes an event.
+func (p *Pilot) startMembers() error {
+	f := p.file.Members
+	if f == nil {
+		return nil
+	}
+	keys, err := readKeys(f.Keys)
+	if err != nil {
+		return err
+	}
+	p.tellMembers()
+	p.members, err = members.Start(members.Gossip{Name: p.file.Name, Bind: f.Bind, Others: f.Others, Keys: keys, Allow: f.Allow, Log: p.log,
+		Tell: func() members.Who { return *p.told.Load() }})
+	return err
+}
+
+// readKeys reads a file of keys, one a line, the first writes.
+func readKeys(path string) (out []string, err error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	for in := bufio.NewScanner(f); in.Scan(); {
+		if line := strings.TrimSpace(in.Text()); line != "" && !strings.HasPrefix(line, "#") {
+			out = append(out, line)
+		}
+	}
+	if len(out) == 0 {
+		return nil, fmt.Errorf("%s holds no key: the base64 of 32 bytes, one a line, is meant", path)
+	}
+	return out, nil
+}
+
+// tellMembers notes what the others are told of this pilot; the loop's own.
+func (p *Pilot) tellMembers() {
+	w := members.Who{Pilot: p.file.Name, Zone: p.file.Zone, Run: p.run, List: p.version, From: p.fresher, Servers: len(p.list), Proxies: len(p.sessions),
+		Wire: runtime.Wire, At: p.file.Listen}
+	if p.ln != nil {
+		w.At = p.ln.Address()
+	}
+	p.told.Store(&w)
+}
+
+var errNoMembers = fmt.Errorf("this pilot hears of no others: its file has no members")
+
+// showFleet lists the pilots that are heard of; skew is how far a list is behind or ahead of this pilot's.
+func (p *Pilot) showFleet(w io.Writer, _ []string) error {
+	if p.members == nil {
+		return errNoMembers
+	}
+	fmt.Fprintln(w, "# pilot,zone,at,state,run,wire,list,from,skew,servers,proxies,")
+	proxies, alive := 0, 0
+	for _, m := range p.members.All() {
+		if m.Bad != "" {
+			fmt.Fprintf(w, "%s,,%s,%s,%s,\n", runtime.Quote(m.Pilot), m.Address, m.State, runtime.Quote(m.Bad))
+			continue
+		}
+		if m.State == "alive" {
+			proxies, alive = proxies+m.Proxies, alive+1
+		}
+		fmt.Fprintf(w, "%s,%s,%s,%s,%d,%d,%d,%s,%d,%d,%d,\n", runtime.Quote(m.Pilot), runtime.Quote(m.Zone), runtime.Quote(m.At), m.State, m.Run, m.Wire, m.List,
+			runtime.Quote(m.From), int64(m.List-p.version), m.Servers, m.Proxies)
+	}
+	fmt.Fprintf(w, "Pilots: %d\nProxies: %d\n", alive, proxies)
+	return nil
+}
+
+// showPeers lists where the gossip hears whom.
+func (p *Pilot) showPeers(w io.Writer, _ []string) error {
+	if p.members == nil {
+		return errNoMembers
+	}
+	fmt.Fprintln(w, "# pilot,address,state,")
+	for _, m := range p.members.All() {
+		fmt.Fprintf(w, "%s,%s,%s,\n", runtime.Quote(m.Pilot), m.Address, m.State)
+	}
+	fmt.Fprintf(w, "Keys: %s\n", strings.Join(p.members.Keys(), " "))
+	return nil
+}
+
+// keyCommand changes the gossip's keys in this process; the file is the operator's to change.
+func (p *Pilot) keyCommand(do func(*members.Members, string) error) func(io.Writer, []string) error {
+	return func(_ io.Writer, words []string) error {
+		if p.members == nil {
+			return errNoMembers
+		}
+		if len(words) != 3 {
+			return fmt.Errorf("a key is to follow, the base64 of 32 bytes")
+		}
+		return do(p.members, words[2])
+	}
+}
--- a/pilot/fleet_test.go
+++ b/pilot/fleet_test.go
@@ -1,8 +1,13 @@
 package pilot
 
 import (
+	"bytes"
+	"encoding/base64"
 	"fmt"
 	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +15,7 @@
 	"vetchdoor/control"
 	"vetchdoor/files"
 	stand "vetchdoor/lab/roster"
+	"vetchdoor/members"
 	"vetchdoor/proxy"
 	sessions "vetchdoor/session"
 )
@@ -146,6 +152,104 @@
 	x.until("all are somewhere", sum)
 }
 
+// Any pilot shows the fleet; a member that is forged, or bears another's name, is shown and changes nothing that is decided:
+// the module hears of no member, ever.
+func TestFleetShown(t *testing.T) {
+	key := base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{7}, 32))
+	keys := filepath.Join(t.TempDir(), "keys")
+	if err := os.WriteFile(keys, []byte("# the fleet's\n"+key+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	gossip := func() string { // a port that both UDP and TCP have free
+		for {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			u, err := net.ListenPacket("udp", ln.Addr().String())
+			ln.Close()
+			if err == nil {
+				u.Close()
+				return ln.Addr().String()
+			}
+		}
+	}
+	module := &script{}
+	start := func(name string, others ...string) *rig {
+		f := pilotFile("127.0.0.1:1")
+		f.Name, f.Members = name, &files.Members{Bind: gossip(), Others: others, Keys: keys}
+		r := &rig{t: t, module: module}
+		r.start(f)
+		t.Cleanup(r.p.Kill)
+		return r
+	}
+	a := start("a")
+	b := start("b", a.p.file.Members.Bind)
+	all := func(r *rig, want ...string) func() bool {
+		return func() bool {
+			s := r.ask("show fleet")
+			for _, w := range want {
+				if !strings.Contains(s, w) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	a.until("both", all(a, "\na,z,", "\nb,z,", "Pilots: 2"))
+	b.until("both", all(b, "\na,z,", "\nb,z,", "Pilots: 2"))
+	module.mu.Lock()
+	before := len(module.events)
+	module.mu.Unlock()
+	forged, err := members.Start(members.Gossip{Name: "zz", Bind: gossip(), Others: []string{a.p.file.Members.Bind}, Keys: []string{key},
+		Log: slog.New(slog.DiscardHandler), Tell: func() members.Who { return members.Who{Pilot: "a", Proxies: 1 << 30, List: 1 << 60} }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.until("the forged one is shown", all(a, "\nzz,,"))
+	b.until("everywhere", all(b, "\nzz,,"))
+	forged.Close()
+	a.until("gone", func() bool { return !strings.Contains(a.ask("show peers"), "\nzz,") })
+	module.mu.Lock()
+	after := len(module.events)
+	module.mu.Unlock()
+	if after != before {
+		t.Errorf("%d events came of members", after-before)
+	}
+	other := base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{8}, 32))
+	for _, cmd := range []string{"add key " + other, "use key " + other, "del key " + key} {
+		if got := a.ask(cmd); strings.TrimSpace(got) != "" {
+			t.Errorf("%s: %s", cmd, got)
+		}
+	}
+	if got := a.ask("show peers"); !strings.Contains(got, "Keys: "+other[:6]+"...\n") {
+		t.Error(got)
+	}
+	for cmd, want := range map[string]string{"add key x": "base64", "use key": "key is to follow", "del key " + other: ""} {
+		if got := a.ask(cmd); strings.TrimSpace(got) == "" || !strings.Contains(got, want) {
+			t.Errorf("%s: %q", cmd, got)
+		}
+	}
+}
+
+// What a later version adds is passed over; what an equal one should not say is refused.
+func TestLaterVersion(t *testing.T) {
+	r := newRig(t)
+	c, in := dial(t, r.p.Address())
+	defer c.Close()
+	fmt.Fprint(c, "hello 1 wire 99 token x zone 0 rate 1 holds - 0 0 window 1000 standing - digests 0 bound q 1 mood sunny\n\n")
+	line, err := in.ReadString('\n')
+	if err != nil || !strings.HasPrefix(line, "welcome p ") || !strings.HasSuffix(line, " wire 1\n") {
+		t.Fatal(line, err)
+	}
+	d, in := dial(t, r.p.Address())
+	defer d.Close()
+	fmt.Fprint(d, "hello 2 wire 1 token x zone 0 rate 1 holds - 0 0 window 1000 standing - mood sunny\n\n")
+	if line, err := in.ReadString('\n'); err == nil && strings.HasPrefix(line, "welcome") {
+		t.Error(line)
+	}
+}
+
 // A module that does not come back is noticed while proxies still take the pilot for alive.
 func TestStuck(t *testing.T) {
 	f := pilotFile("127.0.0.1:1")
--- a/pilot/moves.go
+++ b/pilot/moves.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"vetchdoor/control"
+	"vetchdoor/members"
 	"vetchdoor/runtime"
 	"vetchdoor/tenancy"
 	"vetchdoor/tenancy/store"
@@ -313,6 +314,11 @@
 		{"show move", "moves under way, what each waits for, and the last that ended", inLoop(p.showMove)},
 		{"cancel move", "NAME: the move ends where it began", inLoop(one(func(n string) tenancy.Event { return tenancy.Event{Cancel: &n} }))},
 		{"open move", "NAME: a move that waits to be told ends", inLoop(one(func(n string) tenancy.Event { return tenancy.Event{Open: &n} }))},
+		{"show fleet", "the pilots that are heard of: what each tells of itself", inLoop(p.showFleet)},
+		{"show peers", "where the gossip hears whom, and the beginnings of its keys", inLoop(p.showPeers)},
+		{"add key", "B64: take what others write with it", inLoop(p.keyCommand((*members.Members).AddKey))},
+		{"use key", "B64: write with it; all must have it", inLoop(p.keyCommand((*members.Members).UseKey))},
+		{"del key", "B64: nobody may write with it any more", inLoop(p.keyCommand((*members.Members).DropKey))},
 		{"forget proxy", "N: one that is gone for good; moves wait for it no longer", inLoop(p.forgetProxy)},
 	}
 }
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -23,6 +23,7 @@
 	"vetchdoor/files"
 	"vetchdoor/fleet"
 	"vetchdoor/http1"
+	"vetchdoor/members"
 	"vetchdoor/policy"
 	"vetchdoor/roster"
 	"vetchdoor/runtime"
@@ -64,6 +65,8 @@
 	ln       *stream.Listener
 	admin    *sessions.Listener
 	probes   *upstream.Pool
+	members  *members.Members // nil: this pilot hears of no others
+	told     atomic.Pointer[members.Who]
 	probing  atomic.Int64
 	noting   atomic.Int64
 	inModule atomic.Int64 // when the module was last called, since born; 0: it came back
@@ -174,6 +177,15 @@
 			return err
 		}
 	}
+	if err := p.startMembers(); err != nil {
+		cancel()
+		p.ln.Close()
+		if p.admin != nil {
+			p.admin.Close()
+		}
+		p.closeFiles()
+		return err
+	}
 	p.done.Add(2)
 	go func() { defer p.done.Done(); p.source.Run(ctx) }()
 	go func() { defer p.done.Done(); p.guard(ctx) }()
@@ -270,6 +282,9 @@
 	}
 	p.done.Wait()
 	p.probes.Close()
+	if p.members != nil {
+		p.members.Close()
+	}
 	p.closeFiles()
 }
 
--- a/pilot/streams.go
+++ b/pilot/streams.go
@@ -218,7 +218,7 @@
 	if !resume {
 		defer p.meet(s)
 	}
-	_ = w.conn.Send(runtime.Welcome{Pilot: p.file.Name, Run: p.run, Resumed: resume}.Append(nil))
+	_ = w.conn.Send(runtime.Welcome{Pilot: p.file.Name, Run: p.run, Wire: runtime.Wire, Resumed: resume}.Append(nil))
 	p.log.Info("proxy joined", "proxy", s.id, "zone", s.zone, "resumed", resume)
 	p.pump()
 }
@@ -334,6 +334,7 @@
 // watch closes streams that say nothing and pings the others.
 func (p *Pilot) watch() {
 	p.records.look()
+	p.tellMembers()
 	for w := range p.wires {
 		quiet := time.Since(w.last)
 		if w.known && quiet > p.silent || !w.known && time.Since(w.opened) > p.silent {
--- a/proxy/orders.go
+++ b/proxy/orders.go
@@ -97,7 +97,7 @@
 	p := o.proxy
 	p.mu.Lock()
 	t := p.now.Load()
-	h := runtime.Hello{Proxy: control.ProxyID(p.file.ID), Token: p.token, Zone: p.zone, Rate: p.file.Rate, Pilot: t.pilot, Run: t.run,
+	h := runtime.Hello{Proxy: control.ProxyID(p.file.ID), Wire: runtime.Wire, Token: p.token, Zone: p.zone, Rate: p.file.Rate, Pilot: t.pilot, Run: t.run,
 		Number: t.number, Window: window, Standing: p.standing, Digests: t.digests(), Bound: t.bindings.pilot, BoundTo: t.bindings.upTo}
 	p.mu.Unlock()
 	if h.Pilot == "" {
@@ -303,6 +303,10 @@
 			return errWindow
 		}
 	}
+	if l.pilot.Wire > runtime.Wire { // a later pilot's; it knows that we may not
+		l.o.log.Debug("a command of a later version is passed over", "command", cmd.String())
+		return nil
+	}
 	return errors.New("not a command of a pilot's stream: " + cmd.String())
 }
 
--- a/runtime/block.go
+++ b/runtime/block.go
@@ -46,9 +46,14 @@
 	return lines, true, nil
 }
 
+// Wire is the version of what pilots and proxies speak. What a later one adds to a hello, a welcome or a stream's commands
+// an earlier one passes over; a pilot sends a proxy no change that its version does not know.
+const Wire = 1
+
 // Hello is how a proxy opens its stream.
 type Hello struct {
 	Proxy    control.ProxyID
+	Wire     int    // what it speaks; 0: it does not say
 	Token    string // drawn at the proxy's start; tells it from another that takes its number
 	Zone     int
 	Rate     float64 // ops a second it usually gets
@@ -64,7 +69,7 @@
 
 // Append appends the block.
 func (h *Hello) Append(b []byte) []byte {
-	b = fmt.Appendf(b, "hello %d token %s zone %d rate %s holds %s %d %d window %d standing ", h.Proxy, Quote(h.Token), h.Zone,
+	b = fmt.Appendf(b, "hello %d wire %d token %s zone %d rate %s holds %s %d %d window %d standing ", h.Proxy, h.Wire, Quote(h.Token), h.Zone,
 		strconv.FormatFloat(h.Rate, 'g', -1, 64), Quote(h.Pilot), h.Run, h.Number, h.Window)
 	for i, e := range h.Standing {
 		if i > 0 {
@@ -271,6 +276,10 @@
 
 func (w *wordReader) hello() *Hello {
 	h := &Hello{Proxy: control.ProxyID(w.uint("proxy", math.MaxUint16))}
+	if len(w.words) > 0 && w.words[0] == "wire" {
+		w.take()
+		h.Wire = int(w.uint("wire", math.MaxUint16))
+	}
 	w.expect("token")
 	h.Token = w.take()
 	w.expect("zone")
@@ -298,10 +307,13 @@
 		w.take()
 		h.Digests = w.digests()
 	}
-	if len(w.words) > 0 {
+	if len(w.words) > 0 && (h.Wire <= Wire || w.words[0] == "bound") {
 		w.expect("bound")
 		h.Bound, h.BoundTo = w.take(), w.uint("number", math.MaxUint64)
 	}
+	if h.Wire > Wire { // a later one's: what it says beyond is passed over
+		w.words = nil
+	}
 	return h
 }
 
@@ -393,6 +405,7 @@
 type Welcome struct {
 	Pilot   string
 	Run     uint64
+	Wire    int  // what the pilot speaks; 0: it does not say
 	Resumed bool // the session goes on: what was not confirmed comes again
 }
 
@@ -402,7 +415,7 @@
 	if m.Resumed {
 		how = "resumed"
 	}
-	return fmt.Appendf(b, "welcome %s %d %s\n", Quote(m.Pilot), m.Run, how)
+	return fmt.Appendf(b, "welcome %s %d %s wire %d\n", Quote(m.Pilot), m.Run, how, m.Wire)
 }
 
 // ParseWelcome reads a welcome.
@@ -417,5 +430,9 @@
 	default:
 		w.fail("%q is neither fresh nor resumed", how)
 	}
+	if len(w.words) > 0 {
+		w.expect("wire")
+		m.Wire = int(w.uint("wire", math.MaxUint16))
+	}
 	return m, w.err
 }
