--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -206,8 +207,25 @@
 	}
 }
 
+// somePorts finds addresses for pilots that must know each other before any of them runs.
+func somePorts(n int) (out []string, err error) {
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer ln.Close()
+		out = append(out, ln.Addr().String())
+	}
+	return out, nil
+}
+
 func (f *fleet) startPilots() error {
 	d := f.day
+	listen, err := somePorts(d.Fleet.Pilots)
+	if err != nil {
+		return err
+	}
 	for i := range d.Fleet.Pilots {
 		zone := i % len(d.Service.Zones)
 		if len(d.Fleet.PilotList) > 0 {
@@ -222,10 +240,15 @@
 		}
 		f.pilots = append(f.pilots, at)
 		at.file = &files.Pilot{Kind: "pilot", Name: fmt.Sprintf("pilot-%d", i), Zone: d.Service.Zones[zone], Instance: i,
-			Instances: d.Fleet.Pilots, Proxies: d.Fleet.Proxies, Listen: "127.0.0.1:0", Roster: at.list.Address(),
+			Instances: d.Fleet.Pilots, Proxies: d.Fleet.Proxies, Listen: listen[i], Roster: at.list.Address(),
 			Cache: filepath.Join(f.dir, fmt.Sprintf("list-%d.json", i)), Seed: d.Seed*100 + uint64(i) + 1,
-			Service: f.believed, Limits: d.Limits, Channel: d.Channel, Silent: files.Duration(3 * time.Second),
+			LeaveWithin: files.Duration(time.Second), Service: f.believed, Limits: d.Limits, Channel: d.Channel, Silent: files.Duration(3 * time.Second),
 			Tenants: d.Load.Tenants.Limits}
+		for j, other := range listen {
+			if i != j {
+				at.file.Peers = append(at.file.Peers, files.Peer{Instance: j, Address: other})
+			}
+		}
 		if d.Load.Tenants.Moves {
 			at.file.Moves = &files.Moves{Store: filepath.Join(f.dir, fmt.Sprintf("tenants-%d.db", i)), Abreast: 512, Most: files.Duration(time.Minute)}
 			at.file.Admin = "127.0.0.1:0"
--- a/lab/trouble.go
+++ b/lab/trouble.go
@@ -6,6 +6,7 @@
 
 	"vetchdoor/control"
 	"vetchdoor/files"
+	"vetchdoor/lab/link"
 	"vetchdoor/lab/node"
 	"vetchdoor/pilot"
 )
@@ -97,6 +98,34 @@
 		}
 	},
 	"balancer_roll": (*fleet).roll,
+	"frozen_list": func(f *fleet, t *files.Trouble) { // some pilots hear nothing more of the list, without a sign
+		for _, p := range f.somePilots(t) {
+			f.at(t, func() { p.list.Lose(link.Down) }, func() { p.list.Heal(); p.list.Break() })
+		}
+	},
+	"pilot_pause": func(f *fleet, t *files.Trouble) { // as a process that is stopped and goes on
+		for _, p := range f.somePilots(t) {
+			f.later(t.At.Span(), func() {
+				f.mu.Lock()
+				up := p.p
+				f.mu.Unlock()
+				if up != nil {
+					up.Pause(t.Length.Span())
+				}
+			})
+		}
+	},
+	"one_way": func(f *fleet, t *files.Trouble) { // what proxies say is lost; how "down": what pilots say
+		d := link.Up
+		if t.How == "down" {
+			d = link.Down
+		}
+		for _, i := range f.someProxies(t) {
+			for _, p := range f.pilots {
+				f.at(t, func() { p.links[i].Lose(d) }, p.links[i].Heal)
+			}
+		}
+	},
 	"reconnect": func(f *fleet, t *files.Trouble) {
 		for _, i := range pick(f, len(f.proxies), t.Size, nil) {
 			off := time.Duration(f.rng.Float64() * float64(t.Length))
@@ -338,10 +367,14 @@
 // roll restarts proxies, or pilots, in batches; each is down for a while.
 func (f *fleet) roll(t *files.Trouble) {
 	down := time.Duration(max(t.Extra, 0.2) * float64(time.Second))
-	if t.How == "pilots" {
+	if t.How == "pilots" || t.How == "pilots-in-order" {
 		for i, at := range f.pilots {
 			when := t.At.Span() + t.Length.Span()*time.Duration(i)/time.Duration(len(f.pilots))
-			f.later(when, func() { f.killPilot(at) })
+			if t.How == "pilots" {
+				f.later(when, func() { f.killPilot(at) })
+			} else {
+				f.later(when, func() { f.stopPilot(at) })
+			}
 			f.later(when+down, func() { f.revivePilot(at) })
 		}
 		return
@@ -366,6 +399,17 @@
 	}
 }
 
+// stopPilot ends a pilot in order: its proxies are sent away first.
+func (f *fleet) stopPilot(at *pilotAt) {
+	f.mu.Lock()
+	p := at.p
+	at.p = nil
+	f.mu.Unlock()
+	if p != nil {
+		p.Stop()
+	}
+}
+
 // revivePilot starts a pilot with its last list and nothing else.
 func (f *fleet) revivePilot(at *pilotAt) {
 	f.mu.Lock()
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -265,6 +265,16 @@
 // usualLeave is how long proxies are sent away for.
 const usualLeave = 10 * time.Second
 
+// Pause holds the pilot up for a while, as a process that is stopped and goes on; a rehearsal's way of one.
+func (p *Pilot) Pause(d time.Duration) {
+	p.post(func() {
+		select {
+		case <-time.After(d):
+		case <-p.stop:
+		}
+	})
+}
+
 // Kill ends the pilot as a killed process would: nothing is said, nothing written.
 func (p *Pilot) Kill() {
 	p.ending.Do(func() {
