The cached list bears its layout and its pilot's name; a test follows the welcome

Cause: a copy of another pilot or of a later program was read as one's own; and TestStrangers still awaited a welcome without the wire's version since that was added, which I had not run.

Change: roster.Save and Load take the pilot's name; a copy of another form or name is refused with a message.

--- a/pilot/list.go
+++ b/pilot/list.go
@@ -93,16 +93,17 @@
 
 // saver writes the list to disk beside the loop, the newest only.
 type saver struct {
-	path string
-	log  *slog.Logger
-	mu   sync.Mutex
-	next func() error
-	wake chan struct{}
-	done chan struct{}
+	path  string
+	pilot string
+	log   *slog.Logger
+	mu    sync.Mutex
+	next  func() error
+	wake  chan struct{}
+	done  chan struct{}
 }
 
-func newSaver(path string, log *slog.Logger) *saver {
-	s := &saver{path: path, log: log, wake: make(chan struct{}, 1), done: make(chan struct{})}
+func newSaver(path, pilot string, log *slog.Logger) *saver {
+	s := &saver{path: path, pilot: pilot, log: log, wake: make(chan struct{}, 1), done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
 		for range s.wake {
@@ -122,7 +123,7 @@
 
 func (s *saver) save(version uint64, entries []roster.Entry) {
 	s.mu.Lock()
-	s.next = func() error { return roster.Save(s.path, version, entries) }
+	s.next = func() error { return roster.Save(s.path, s.pilot, version, entries) }
 	s.mu.Unlock()
 	select {
 	case s.wake <- struct{}{}:
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -139,7 +139,7 @@
 	p.source = &roster.Client{Address: p.file.Roster, Log: p.log, Rand: rng,
 		Take: func(u *roster.Update) { p.post(func() { p.listed(u) }) }}
 	if p.file.Cache != "" {
-		version, entries, err := roster.Load(p.file.Cache)
+		version, entries, err := roster.Load(p.file.Cache, p.file.Name)
 		if err != nil {
 			p.log.Warn("the cached list cannot be used", "error", err)
 		}
@@ -150,7 +150,7 @@
 			p.fresher = "cache"
 			p.log.Warn("runs by its cached list until the list service is heard", "version", version, "servers", len(entries))
 		}
-		p.saver = newSaver(p.file.Cache, p.log)
+		p.saver = newSaver(p.file.Cache, p.file.Name, p.log)
 	}
 	if err := p.openMoves(); err != nil {
 		cancel()
--- a/pilot/pilot_test.go
+++ b/pilot/pilot_test.go
@@ -344,7 +344,7 @@
 	}
 	again, in2 := dial(t, r.p.Address())
 	fmt.Fprintf(again, hello, 1, "x")
-	if s, err := in2.ReadString('\n'); err != nil || !strings.HasSuffix(s, "fresh\n") {
+	if s, err := in2.ReadString('\n'); err != nil || !strings.HasSuffix(s, " fresh wire 1\n") {
 		t.Fatal(s, err)
 	}
 	if _, err := io.ReadAll(in); err != nil {
@@ -359,7 +359,7 @@
 	f.Cache = filepath.Join(t.TempDir(), "list.json")
 	first := &rig{t: t, module: &script{}}
 	first.start(f)
-	first.until("kept", func() bool { _, l, err := roster.Load(f.Cache); return err == nil && len(l) == 4 })
+	first.until("kept", func() bool { _, l, err := roster.Load(f.Cache, f.Name); return err == nil && len(l) == 4 })
 	first.p.Kill()
 	f.Roster = "127.0.0.1:1"
 	listing := func() (n int) {
--- a/roster/cache.go
+++ b/roster/cache.go
@@ -12,17 +12,26 @@
 
 // cached is the file: the list and a hash of it, so that a torn or altered copy is known for one.
 type cached struct {
-	Sum  uint64          `json:"sum"`
-	List json.RawMessage `json:"list"`
+	Form  int             `json:"form"`
+	Pilot string          `json:"pilot"`
+	Sum   uint64          `json:"sum"`
+	List  json.RawMessage `json:"list"`
 }
 
-// Save writes the list so that a reader finds the old copy or the new one, whenever the machine stops.
-func Save(path string, version uint64, entries []Entry) (err error) {
+// form is the version of the file's layout.
+const form = 1
+
+func sum(pilot string, list []byte) uint64 {
+	return xxhash.Sum64(append([]byte(pilot+"\x00"), list...))
+}
+
+// Save writes a pilot's list so that a reader finds the old copy or the new one, whenever the machine stops.
+func Save(path, pilot string, version uint64, entries []Entry) (err error) {
 	list, err := json.Marshal(Update{Kind: "full", Version: version, Entries: entries})
 	if err != nil {
 		return err
 	}
-	data, err := json.Marshal(cached{Sum: xxhash.Sum64(list), List: list})
+	data, err := json.Marshal(cached{Form: form, Pilot: pilot, Sum: sum(pilot, list), List: list})
 	if err != nil {
 		return err
 	}
@@ -49,8 +58,9 @@
 	return os.Rename(f.Name(), path)
 }
 
-// Load reads the copy. No copy is no error: the version is 0 and there are no entries.
-func Load(path string) (version uint64, entries []Entry, err error) {
+// Load reads a pilot's copy. No copy is no error: the version is 0 and there are no entries. One of another layout or of
+// another pilot is an error, as one that is torn.
+func Load(path, pilot string) (version uint64, entries []Entry, err error) {
 	data, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
 		return 0, nil, nil
@@ -62,7 +72,13 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return 0, nil, fmt.Errorf("load the list: %s: %w", path, err)
 	}
-	if xxhash.Sum64(c.List) != c.Sum {
+	if c.Form != form {
+		return 0, nil, fmt.Errorf("load the list: %s: its layout is version %d, this program reads version %d", path, c.Form, form)
+	}
+	if c.Pilot != pilot {
+		return 0, nil, fmt.Errorf("load the list: %s: it is the copy of pilot %.40q, not of %.40q", path, c.Pilot, pilot)
+	}
+	if sum(pilot, c.List) != c.Sum {
 		return 0, nil, fmt.Errorf("load the list: %s: its hash does not match", path)
 	}
 	u, err := ParseUpdate(c.List)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -146,22 +147,35 @@
 // The copy on disk is the old one or the new one, and nothing that was altered.
 func TestCache(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "list.json")
-	if v, l, err := roster.Load(path); v != 0 || l != nil || err != nil {
+	if v, l, err := roster.Load(path, "p"); v != 0 || l != nil || err != nil {
 		t.Fatal("no copy:", v, l, err)
 	}
 	want := []roster.Entry{entry(1, "ready"), entry(2, "draining")}
 	for v := range uint64(3) {
-		if err := roster.Save(path, v+1, want); err != nil {
+		if err := roster.Save(path, "p", v+1, want); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if v, l, err := roster.Load(path); v != 3 || err != nil || !reflect.DeepEqual(l, want) {
+	if v, l, err := roster.Load(path, "p"); v != 3 || err != nil || !reflect.DeepEqual(l, want) {
 		t.Fatal(v, l, err)
 	}
 	if files, _ := os.ReadDir(filepath.Dir(path)); len(files) != 1 {
 		t.Errorf("%d files left", len(files))
 	}
-	if err := roster.Save(filepath.Join(path, "x"), 1, want); err == nil {
+	if v, l, err := roster.Load(path, "q"); v != 0 || l != nil || err == nil || !strings.Contains(err.Error(), `of pilot "p"`) {
+		t.Errorf("another pilot's copy: %d %v %v", v, l, err)
+	}
+	text, err := os.ReadFile(path)
+	if err == nil {
+		err = os.WriteFile(path, []byte(strings.Replace(string(text), `"form":1`, `"form":2`, 1)), 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v, l, err := roster.Load(path, "p"); v != 0 || l != nil || err == nil || !strings.Contains(err.Error(), "version 2") {
+		t.Errorf("a later layout: %d %v %v", v, l, err)
+	}
+	if err := roster.Save(filepath.Join(path, "x"), "p", 1, want); err == nil {
 		t.Error("saved into a file")
 	}
 }
