The module's first list has servers on it: cells are laid out as designed

Cause: a pilot without a cached list handed the module an empty one at its start; the module lays out its cells by the first list, so such a pilot had one cell an area for good, and others after a restart. Found as a restart with 340 servers laid ten tables where there had been three.

Change: no list is handed over before one with servers on it; a test saw the empty one first. Proxies' tables are waited for a quarter of the drains' grace.

--- a/pilot/list.go
+++ b/pilot/list.go
@@ -53,7 +53,9 @@
 		p.list[e.Endpoint] = e
 	}
 	p.version, p.fresher = u.Version, "list"
-	p.event(control.Listing{Kind: kind, Entries: p.entries(known)})
+	if p.given = p.given || len(known) > 0; p.given {
+		p.event(control.Listing{Kind: kind, Entries: p.entries(known)})
+	}
 	for _, id := range moved {
 		p.queue(p.now(), p.book.moved(id))
 	}
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -84,6 +84,7 @@
 	mover        *mover                        // nil: tenants are not moved
 	records      *recorder
 	fresher      string // where the list is from: list, cache, or nowhere
+	given        bool   // the module has had a list with servers on it
 	leaving      bool   // it ends: proxies are sent to others
 	turned       uint64 // hellos that were sent elsewhere
 	events       []control.Event
@@ -391,8 +392,11 @@
 		}
 	}
 	p.sessions, p.numbers = map[control.ProxyID]*session{}, map[control.ProxyID]uint64{}
-	p.events = []control.Event{control.Start{Facts: p.facts, Seed: p.seed},
-		control.Listing{Kind: control.Cached, Entries: p.entries(p.sortedList())}}
+	p.events = []control.Event{control.Start{Facts: p.facts, Seed: p.seed}}
+	list := p.sortedList()
+	if p.given = len(list) > 0; p.given { // the module lays out its cells by the first list, which must not be empty
+		p.events = append(p.events, control.Listing{Kind: control.Cached, Entries: p.entries(list)})
+	}
 	p.seed++
 }
 
--- a/pilot/streams.go
+++ b/pilot/streams.go
@@ -223,9 +223,9 @@
 	p.pump()
 }
 
-// meetWithin is how long a proxy's tables are waited for before it counts as joined; one that does not send them is laid its
-// tables whole.
-const meetWithin = 300 * time.Millisecond
+// meetShare is the part of the drains' grace for which a proxy's tables are waited for before it counts as joined: it is told
+// of no drain meanwhile. One that does not send them is laid its tables whole.
+const meetShare = 0.25
 
 // meet asks a proxy for what it holds, if nobody has told it yet, and has the module told of it.
 func (p *Pilot) meet(s *session) {
@@ -235,7 +235,8 @@
 		return
 	}
 	_ = s.conn.conn.Send(runtime.Ask(unknown).Append(nil))
-	time.AfterFunc(meetWithin, func() { p.post(func() { p.announce(s) }) })
+	wait := max(time.Duration(meetShare*float64(p.facts.DrainGrace)), time.Millisecond)
+	time.AfterFunc(wait, func() { p.post(func() { p.announce(s) }) })
 }
 
 // announce tells the module that a proxy joined.
