The gossip's members are copied as they are heard

Cause: memberlist hands out its own records, which change under who reads them; the race detector said so.

Change: members keeps copies by the library's events; a member that leaves or dies is no longer listed, and show fleet has no state column.

Measured: go test -race ./members passes, it did not.

--- a/members/members.go
+++ b/members/members.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"log"
 	"log/slog"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -38,7 +39,6 @@
 type Told struct {
 	Who
 	Address string
-	State   string // alive, suspect or dead
 	Bad     string // what it tells cannot be read, and why
 }
 
@@ -61,6 +61,7 @@
 	ring   *memberlist.Keyring
 	mu     sync.Mutex
 	meta   []byte
+	heard  map[string]Told
 	stop   context.CancelFunc
 	done   sync.WaitGroup
 	ending sync.Once
@@ -68,7 +69,7 @@
 
 // Start joins. Others that are not there are tried again for as long as it runs.
 func Start(g Gossip) (*Members, error) {
-	m := &Members{g: g}
+	m := &Members{g: g, heard: map[string]Told{}}
 	if m.g.Every <= 0 {
 		m.g.Every = time.Second
 	}
@@ -93,7 +94,7 @@
 	}
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.BindAddr, c.BindPort, c.AdvertisePort = g.Name, at.Addr().String(), int(at.Port()), int(at.Port())
-	c.Keyring, c.Delegate = m.ring, (*delegate)(m)
+	c.Keyring, c.Delegate, c.Events = m.ring, (*delegate)(m), (*delegate)(m)
 	c.Logger = log.New(toSlog{g.Log}, "", 0)
 	allow := g.Allow
 	if len(allow) == 0 {
@@ -172,23 +173,11 @@
 
 // All returns the members by name, as far as they are heard.
 func (m *Members) All() (out []Told) {
-	for _, n := range m.list.Members() {
-		t := Told{Address: n.Address(), State: "alive"}
-		switch n.State {
-		case memberlist.StateSuspect:
-			t.State = "suspect"
-		case memberlist.StateDead, memberlist.StateLeft:
-			t.State = "dead"
-		}
-		if err := json.Unmarshal(n.Meta, &t.Who); err != nil {
-			t.Who, t.Bad = Who{}, "what it tells cannot be read"
-		} else if t.Pilot != n.Name {
-			t.Bad = fmt.Sprintf("it tells of %.40q", t.Pilot)
-		}
-		t.Pilot = n.Name
-		out = append(out, t)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(m.heard)) {
+		out = append(out, m.heard[name])
 	}
-	slices.SortFunc(out, func(a, b Told) int { return strings.Compare(a.Pilot, b.Pilot) })
 	return out
 }
 
@@ -239,6 +228,29 @@
 	return d.meta
 }
 
+// NotifyJoin, NotifyUpdate and NotifyLeave keep a copy of what is heard: the library's own records change under a reader.
+func (d *delegate) NotifyJoin(n *memberlist.Node)   { d.hear(n) }
+func (d *delegate) NotifyUpdate(n *memberlist.Node) { d.hear(n) }
+
+func (d *delegate) NotifyLeave(n *memberlist.Node) {
+	d.mu.Lock()
+	delete(d.heard, n.Name)
+	d.mu.Unlock()
+}
+
+func (d *delegate) hear(n *memberlist.Node) {
+	t := Told{Address: n.Address()}
+	if err := json.Unmarshal(n.Meta, &t.Who); err != nil {
+		t.Who, t.Bad = Who{}, "what it tells cannot be read"
+	} else if t.Pilot != n.Name {
+		t.Bad = fmt.Sprintf("it tells of %.40q", t.Pilot)
+	}
+	t.Pilot = n.Name
+	d.mu.Lock()
+	d.heard[n.Name] = t
+	d.mu.Unlock()
+}
+
 func (d *delegate) NotifyMsg([]byte)                           {}
 func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte { return nil }
 func (d *delegate) LocalState(join bool) []byte                { return nil }
--- a/pilot/fleet.go
+++ b/pilot/fleet.go
@@ -62,20 +62,18 @@
 	if p.members == nil {
 		return errNoMembers
 	}
-	fmt.Fprintln(w, "# pilot,zone,at,state,run,wire,list,from,skew,servers,proxies,")
-	proxies, alive := 0, 0
+	fmt.Fprintln(w, "# pilot,zone,at,run,wire,list,from,skew,servers,proxies,")
+	proxies, heard := 0, 0
 	for _, m := range p.members.All() {
 		if m.Bad != "" {
-			fmt.Fprintf(w, "%s,,%s,%s,%s,\n", runtime.Quote(m.Pilot), m.Address, m.State, runtime.Quote(m.Bad))
+			fmt.Fprintf(w, "%s,,%s,%s,\n", runtime.Quote(m.Pilot), m.Address, runtime.Quote(m.Bad))
 			continue
 		}
-		if m.State == "alive" {
-			proxies, alive = proxies+m.Proxies, alive+1
-		}
-		fmt.Fprintf(w, "%s,%s,%s,%s,%d,%d,%d,%s,%d,%d,%d,\n", runtime.Quote(m.Pilot), runtime.Quote(m.Zone), runtime.Quote(m.At), m.State, m.Run, m.Wire, m.List,
+		proxies, heard = proxies+m.Proxies, heard+1
+		fmt.Fprintf(w, "%s,%s,%s,%d,%d,%d,%s,%d,%d,%d,\n", runtime.Quote(m.Pilot), runtime.Quote(m.Zone), runtime.Quote(m.At), m.Run, m.Wire, m.List,
 			runtime.Quote(m.From), int64(m.List-p.version), m.Servers, m.Proxies)
 	}
-	fmt.Fprintf(w, "Pilots: %d\nProxies: %d\n", alive, proxies)
+	fmt.Fprintf(w, "Pilots: %d\nProxies: %d\n", heard, proxies)
 	return nil
 }
 
@@ -84,9 +82,9 @@
 	if p.members == nil {
 		return errNoMembers
 	}
-	fmt.Fprintln(w, "# pilot,address,state,")
+	fmt.Fprintln(w, "# pilot,address,")
 	for _, m := range p.members.All() {
-		fmt.Fprintf(w, "%s,%s,%s,\n", runtime.Quote(m.Pilot), m.Address, m.State)
+		fmt.Fprintf(w, "%s,%s,\n", runtime.Quote(m.Pilot), m.Address)
 	}
 	fmt.Fprintf(w, "Keys: %s\n", strings.Join(p.members.Keys(), " "))
 	return nil
