One limit, one pod's number, one way to replace a file; commands and cleanup in one place

A tenant's limit stood as three types with their own test of none; a pod's number was put together in five places; the list's copy and the proxies' bindings each replaced files; filters compiled their parts in three loops; a pilot that failed to start cleaned up in four, one of which forgot the saver.

Change: runtime.LimitOf and Change.Limit with tenancy.Limit at proxies too, tenancy.PodOf, files.Replace, Pilot.closeAll for a failed start and for the end, anyOf and each for filters, one reader for vetchdoor log, fleet's commands beside fleet's code as sessions.Command, rank by one pass; a sum that nothing read is gone.

--- a/cmd/vetchdoor/log.go
+++ b/cmd/vetchdoor/log.go
@@ -24,8 +24,17 @@
 	return c
 }
 
-// readBook reads files; - is standard input.
-func readBook(paths []string) (*logbook.Book, error) {
+// whereFlag is the filter that all of them take.
+func whereFlag(c *cobra.Command, where *string) {
+	c.Flags().StringVarP(where, "where", "w", "", "a filter, see vetchdoor log --help")
+}
+
+// readBook compiles a filter and reads files; - is standard input.
+func readBook(paths []string, where string) (*logbook.Book, logbook.Filter, error) {
+	wanted, err := logbook.Compile(where)
+	if err != nil {
+		return nil, nil, err
+	}
 	var all []*logbook.Entry
 	r := logbook.NewReader()
 	for _, path := range paths {
@@ -33,16 +42,16 @@
 		if path != "-" {
 			f, err := os.Open(path)
 			if err != nil {
-				return nil, err
+				return nil, nil, err
 			}
 			defer f.Close()
 			in = f
 		}
 		if err := r.Lines(path, in, func(e *logbook.Entry) { all = append(all, e) }); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
-	return logbook.Make(all), nil
+	return logbook.Make(all), wanted, nil
 }
 
 func logShowCommand() *cobra.Command {
@@ -50,11 +59,7 @@
 	var raw bool
 	c := &cobra.Command{Use: "show FILE...", Short: "all of it, in order, with what is missing", Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			wanted, err := logbook.Compile(where)
-			if err != nil {
-				return err
-			}
-			b, err := readBook(args)
+			b, wanted, err := readBook(args, where)
 			if err != nil {
 				return err
 			}
@@ -90,7 +95,7 @@
 			summary(out, b)
 			return nil
 		}}
-	c.Flags().StringVarP(&where, "where", "w", "", "a filter, see vetchdoor log --help")
+	whereFlag(c, &where)
 	c.Flags().StringVar(&node, "node", "", "draw this node's evening (eN)")
 	c.Flags().StringVar(&page, "html", "", "write it to this file, as a page")
 	c.Flags().BoolVar(&raw, "raw", false, "the lines as they were written")
@@ -115,11 +120,7 @@
 	var count int
 	c := &cobra.Command{Use: "tail FILE...", Short: "the last of it", Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			wanted, err := logbook.Compile(where)
-			if err != nil {
-				return err
-			}
-			b, err := readBook(args)
+			b, wanted, err := readBook(args, where)
 			if err != nil {
 				return err
 			}
@@ -134,7 +135,7 @@
 			}
 			return nil
 		}}
-	c.Flags().StringVarP(&where, "where", "w", "", "a filter, see vetchdoor log --help")
+	whereFlag(c, &where)
 	c.Flags().IntVarP(&count, "count", "n", 20, "how many")
 	return c
 }
@@ -178,6 +179,6 @@
 				}
 			}
 		}}
-	c.Flags().StringVarP(&where, "where", "w", "", "a filter, see vetchdoor log --help")
+	whereFlag(c, &where)
 	return c
 }
--- a/logbook/filter.go
+++ b/logbook/filter.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -70,42 +71,36 @@
 	return tree.filter()
 }
 
-func (n *orNode) filter() (Filter, error) {
-	var any []Filter
-	for _, a := range n.And {
-		f, err := a.filter()
-		if err != nil {
-			return nil, err
-		}
-		any = append(any, f)
-	}
+// compiled is a part of the tree.
+type compiled interface{ filter() (Filter, error) }
+
+// anyOf wants what one of the parts wants.
+func anyOf[P compiled](parts []P) (Filter, error) {
+	filters, err := each(parts)
 	return func(e *Entry) bool {
-		for _, f := range any {
-			if f(e) {
-				return true
-			}
-		}
-		return false
-	}, nil
+		return slices.ContainsFunc(filters, func(f Filter) bool { return f(e) })
+	}, err
 }
 
-func (n *andNode) filter() (Filter, error) {
-	var all []Filter
-	for _, t := range n.Terms {
-		f, err := t.filter()
+// each compiles all parts.
+func each[P compiled](parts []P) (out []Filter, err error) {
+	for _, p := range parts {
+		f, err := p.filter()
 		if err != nil {
 			return nil, err
 		}
-		all = append(all, f)
+		out = append(out, f)
 	}
+	return out, nil
+}
+
+func (n *orNode) filter() (Filter, error) { return anyOf(n.And) }
+
+func (n *andNode) filter() (Filter, error) {
+	filters, err := each(n.Terms)
 	return func(e *Entry) bool {
-		for _, f := range all {
-			if !f(e) {
-				return false
-			}
-		}
-		return true
-	}, nil
+		return !slices.ContainsFunc(filters, func(f Filter) bool { return !f(e) })
+	}, err
 }
 
 func (n *termNode) filter() (Filter, error) {
@@ -125,22 +120,11 @@
 func (n *isNode) filter() (Filter, error) {
 	field := strings.ToLower(n.Field)
 	if len(n.In) > 0 {
-		var any []Filter
+		var parts []*isNode
 		for _, v := range n.In {
-			f, err := (&isNode{Field: n.Field, Op: "=", Value: v}).filter()
-			if err != nil {
-				return nil, err
-			}
-			any = append(any, f)
+			parts = append(parts, &isNode{Field: n.Field, Op: "=", Value: v})
 		}
-		return func(e *Entry) bool {
-			for _, f := range any {
-				if f(e) {
-					return true
-				}
-			}
-			return false
-		}, nil
+		return anyOf(parts)
 	}
 	if n.Op == "~" {
 		re, err := regexp.Compile(n.Value)
--- a/pilot/admin.go
+++ b/pilot/admin.go
@@ -35,11 +35,7 @@
 			return err
 		}
 	}
-	var out []sessions.Command
-	for _, c := range p.tenantCommands(inLoopOf) {
-		out = append(out, sessions.Command{Words: c.words, Help: c.help, Do: c.do})
-	}
-	return append(out, []sessions.Command{
+	return slices.Concat(p.tenantCommands(inLoopOf), p.fleetCommands(inLoopOf), []sessions.Command{
 		{Words: "show info", Help: "what this pilot is and has done", Do: inLoop(p.showInfo)},
 		{Words: "show info typed", Help: "the same in the typed form", Do: inLoop(func(w io.Writer) {
 			var b strings.Builder
@@ -50,7 +46,7 @@
 		{Words: "show servers state", Help: "the list of servers as this pilot has it", Do: inLoop(p.showServers)},
 		{Words: "show proxies", Help: "joined proxies, their tables, what they have not confirmed", Do: inLoop(p.showProxies)},
 		{Words: "show levels", Help: "how much of each op type is let in", Do: inLoop(p.showLevels)},
-	}...)
+	})
 }
 
 func (p *Pilot) showInfo(w io.Writer) {
--- a/pilot/book.go
+++ b/pilot/book.go
@@ -385,7 +385,7 @@
 // limit writes changed limits to all; one who has not been sent any gets them all.
 func (b *book) limit(limits []runtime.Change) (messages []outgoing) {
 	for _, c := range limits {
-		if b.limits[c.Tenant] = c; c.Rate < 0 && c.Hand < 0 && !c.Fenced && c.Room <= 1 {
+		if b.limits[c.Tenant] = c; c.Limit().Free() {
 			delete(b.limits, c.Tenant)
 		}
 	}
--- a/pilot/moves.go
+++ b/pilot/moves.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"vetchdoor/control"
-	"vetchdoor/members"
 	"vetchdoor/runtime"
+	sessions "vetchdoor/session"
 	"vetchdoor/tenancy"
 	"vetchdoor/tenancy/store"
 )
@@ -26,8 +26,7 @@
 	wake    *time.Timer
 	sending []*session // that have orders to be sent, in turn
 	moved   uint64
-	undone  uint64 // cancelled
-	held    time.Duration
+	undone  uint64             // cancelled
 	last    []tenancy.End      // the newest ends, for people
 	kept    []tenancy.Sentence // limits that stood when the last run ended
 }
@@ -88,7 +87,7 @@
 	}
 	for _, e := range d.Ended {
 		p.records.moved(e)
-		if m.held += e.Held; e.Moved {
+		if e.Moved {
 			m.moved++
 		} else {
 			m.undone++
@@ -224,6 +223,11 @@
 		d.look = max(mostLook, 2*len(d.bound))
 	}
 	d.mu.Unlock()
+	d.poke()
+}
+
+// poke has what was taken in written.
+func (d *disk) poke() {
 	select {
 	case d.wake <- struct{}{}:
 	default:
@@ -237,10 +241,7 @@
 		d.limit = []tenancy.Sentence{}
 	}
 	d.mu.Unlock()
-	select {
-	case d.wake <- struct{}{}:
-	default:
-	}
+	d.poke()
 }
 
 func (d *disk) run() {
@@ -298,7 +299,7 @@
 }
 
 // tenantCommands are those of the socket for people that concern tenants.
-func (p *Pilot) tenantCommands(inLoop func(func(io.Writer, []string) error) func(io.Writer, runtime.Command) error) []command {
+func (p *Pilot) tenantCommands(inLoop func(func(io.Writer, []string) error) func(io.Writer, runtime.Command) error) []sessions.Command {
 	one := func(f func(name string) tenancy.Event) func(io.Writer, []string) error {
 		return func(w io.Writer, words []string) error {
 			if len(words) != 3 {
@@ -307,28 +308,17 @@
 			return p.asked(f(runtime.TenantName(words[2])))
 		}
 	}
-	return []command{
-		{"show tenant", "[NAME]: tenants with a limit or a seat of their own, or all of one", inLoop(p.showTenant)},
-		{"set tenant", "NAME subset home|draw N|size N|pods ZONE.PACK,...: move it there", inLoop(p.setTenant)},
-		{"move tenant", "NAME [draw N|size N|pods ZONE.PACK,...] [wait]: move it, to a new draw where nothing is said", inLoop(p.moveTenant)},
-		{"show move", "moves under way, what each waits for, and the last that ended", inLoop(p.showMove)},
-		{"cancel move", "NAME: the move ends where it began", inLoop(one(func(n string) tenancy.Event { return tenancy.Event{Cancel: &n} }))},
-		{"open move", "NAME: a move that waits to be told ends", inLoop(one(func(n string) tenancy.Event { return tenancy.Event{Open: &n} }))},
-		{"show fleet", "the pilots that are heard of: what each tells of itself", inLoop(p.showFleet)},
-		{"show peers", "where the gossip hears whom, and the beginnings of its keys", inLoop(p.showPeers)},
-		{"add key", "B64: take what others write with it", inLoop(p.keyCommand((*members.Members).AddKey))},
-		{"use key", "B64: write with it; all must have it", inLoop(p.keyCommand((*members.Members).UseKey))},
-		{"del key", "B64: nobody may write with it any more", inLoop(p.keyCommand((*members.Members).DropKey))},
-		{"forget proxy", "N: one that is gone for good; moves wait for it no longer", inLoop(p.forgetProxy)},
+	return []sessions.Command{
+		{Words: "show tenant", Help: "[NAME]: tenants with a limit or a seat of their own, or all of one", Do: inLoop(p.showTenant)},
+		{Words: "set tenant", Help: "NAME subset home|draw N|size N|pods ZONE.PACK,...: move it there", Do: inLoop(p.setTenant)},
+		{Words: "move tenant", Help: "NAME [draw N|size N|pods ZONE.PACK,...] [wait]: move it, to a new draw where nothing is said", Do: inLoop(p.moveTenant)},
+		{Words: "show move", Help: "moves under way, what each waits for, and the last that ended", Do: inLoop(p.showMove)},
+		{Words: "cancel move", Help: "NAME: the move ends where it began", Do: inLoop(one(func(n string) tenancy.Event { return tenancy.Event{Cancel: &n} }))},
+		{Words: "open move", Help: "NAME: a move that waits to be told ends", Do: inLoop(one(func(n string) tenancy.Event { return tenancy.Event{Open: &n} }))},
+		{Words: "forget proxy", Help: "N: one that is gone for good; moves wait for it no longer", Do: inLoop(p.forgetProxy)},
 	}
 }
 
-// command is one for people.
-type command struct {
-	words, help string
-	do          func(io.Writer, runtime.Command) error
-}
-
 func (p *Pilot) asked(e tenancy.Event) error {
 	if p.mover == nil {
 		return fmt.Errorf("this pilot moves no tenants: its file has no moves")
@@ -386,7 +376,7 @@
 // hasPod tells whether the list has a server of a pod.
 func (p *Pilot) hasPod(pod tenancy.PodID) bool {
 	for _, e := range p.list {
-		if e.Mode != "gone" && e.Pack == int(pod&0xffff) && p.file.Service.ZoneIndex(e.Zone) == int(pod>>16) {
+		if e.Mode != "gone" && tenancy.PodOf(p.file.Service.ZoneIndex(e.Zone), e.Pack) == pod {
 			return true
 		}
 	}
@@ -409,12 +399,7 @@
 }
 
 func (p *Pilot) showTenant(w io.Writer, words []string) error {
-	limits := map[string]runtime.Change{}
-	names := []string{}
-	for name, c := range p.book.limits {
-		limits[name] = c
-		names = append(names, name)
-	}
+	names := slices.Collect(maps.Keys(p.book.limits))
 	if p.mover != nil {
 		for _, r := range p.mover.Seated() {
 			names = append(names, r.Tenant)
@@ -426,9 +411,9 @@
 	slices.Sort(names)
 	fmt.Fprintln(w, "# tenant,rate,tries,hand,fenced,room,seat,phase,number,ops_s,failed_s,busy_s,")
 	for _, name := range slices.Compact(names) {
-		c, limited := limits[name]
-		if !limited {
-			c.Rate, c.Tries, c.Hand, c.Room = -1, tenancy.TryBudget, -1, 1
+		l := tenancy.Unlimited(name)
+		if c, limited := p.book.limits[name]; limited {
+			l = c.Limit()
 		}
 		r := tenancy.Record{}
 		if p.mover != nil {
@@ -439,7 +424,7 @@
 			u = p.warden.Met(name)
 		}
 		per := p.facts.ReportEvery.Seconds()
-		fmt.Fprintf(w, "%s,%g,%g,%g,%t,%g,%s,%s,%d,%.3g,%.3g,%.3g,\n", runtime.Quote("="+name), c.Rate, c.Tries, c.Hand, c.Fenced, c.Room, r.Seat, r.Phase, r.Number,
+		fmt.Fprintf(w, "%s,%g,%g,%g,%t,%g,%s,%s,%d,%.3g,%.3g,%.3g,\n", runtime.Quote("="+name), l.Rate, l.Tries, l.Hand, l.Fenced, l.Room, r.Seat, r.Phase, r.Number,
 			u.Ops/per, u.Failed/per, u.Busy.Seconds()/per)
 	}
 	return nil
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -133,9 +133,15 @@
 }
 
 // Start reads the cached list, listens for proxies and people, and follows the list service.
-func (p *Pilot) Start() error {
+func (p *Pilot) Start() (err error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
+	defer func() {
+		if err != nil {
+			cancel()
+			p.closeAll()
+		}
+	}()
 	rng := rand.New(rand.NewPCG(p.seed, uint64(p.file.Instance)))
 	p.source = &roster.Client{Address: p.file.Roster, Log: p.log, Rand: rng,
 		Take: func(u *roster.Update) { p.post(func() { p.listed(u) }) }}
@@ -153,8 +159,7 @@
 		}
 		p.saver = newSaver(p.file.Cache, p.file.Name, p.log)
 	}
-	if err := p.openMoves(); err != nil {
-		cancel()
+	if err = p.openMoves(); err != nil {
 		return err
 	}
 	var types []string
@@ -164,30 +169,16 @@
 	p.records = newRecorder(p.Records, p.file.Name, types, p.run, p.now)
 	p.records.began(p.run, "start")
 	p.fresh()
-	var err error
 	if p.ln, err = stream.Listen(p.file.Listen, p.accept); err != nil {
-		cancel()
-		p.closeFiles()
-		p.records.close()
 		return err
 	}
 	if p.file.Admin != "" {
 		if p.admin, err = sessions.Listen(p.file.Admin, "vetchdoor pilot", p.commands()); err != nil {
-			cancel()
-			p.ln.Close()
-			p.closeFiles()
-			p.records.close()
+			p.admin = nil
 			return err
 		}
 	}
-	if err := p.startMembers(); err != nil {
-		cancel()
-		p.ln.Close()
-		if p.admin != nil {
-			p.admin.Close()
-		}
-		p.closeFiles()
-		p.records.close()
+	if err = p.startMembers(); err != nil {
 		return err
 	}
 	p.done.Add(2)
@@ -290,7 +281,14 @@
 func (p *Pilot) end() {
 	close(p.stop)
 	<-p.stopped
-	p.ln.Close()
+	p.closeAll()
+}
+
+// closeAll ends what runs beside the loop, as far as it was begun.
+func (p *Pilot) closeAll() {
+	if p.ln != nil {
+		p.ln.Close()
+	}
 	if p.admin != nil {
 		p.admin.Close()
 	}
@@ -300,10 +298,6 @@
 	if p.members != nil {
 		p.members.Close()
 	}
-	p.closeFiles()
-}
-
-func (p *Pilot) closeFiles() {
 	if p.saver != nil {
 		p.saver.close()
 	}
@@ -388,7 +382,7 @@
 		p.warden = tenancy.NewWarden(p.facts.ReportEvery)
 		p.warden.Restore(kept)
 		for _, s := range kept {
-			p.book.limits[s.Tenant] = runtime.Change{Verb: runtime.SetTenant, Tenant: s.Tenant, Rate: s.Rate, Tries: s.Tries, Hand: s.Hand, Fenced: s.Fenced, Room: s.Room}
+			p.book.limits[s.Tenant] = runtime.LimitOf(s.Limit)
 		}
 	}
 	p.sessions, p.numbers = map[control.ProxyID]*session{}, map[control.ProxyID]uint64{}
@@ -557,7 +551,7 @@
 func (p *Pilot) sendLimits(limits []tenancy.Limit) {
 	var changes []runtime.Change
 	for _, l := range limits {
-		changes = append(changes, runtime.Change{Verb: runtime.SetTenant, Tenant: l.Tenant, Rate: l.Rate, Tries: l.Tries, Hand: l.Hand, Fenced: l.Fenced, Room: l.Room})
+		changes = append(changes, runtime.LimitOf(l))
 	}
 	p.queue(p.now(), p.book.limit(changes))
 	p.pump()
@@ -587,7 +581,7 @@
 			if !ok || len(e.Load) <= busy {
 				continue
 			}
-			pod := tenancy.PodID(at.Zone)<<16 | tenancy.PodID(at.Pack)
+			pod := tenancy.PodOf(at.Zone, at.Pack)
 			if p.loads[pod] == nil {
 				p.loads[pod] = &[2]float64{}
 			}
--- a/proxy/bindings.go
+++ b/proxy/bindings.go
@@ -8,12 +8,12 @@
 	"log/slog"
 	"maps"
 	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"time"
 
 	"vetchdoor/control"
+	"vetchdoor/files"
 	"vetchdoor/runtime"
 	"vetchdoor/tenancy"
 )
@@ -174,26 +174,7 @@
 		out = appendLine(out, keptLine{Tenant: &name, Binding: &x})
 	}
 	k.lines = len(b.of) + 1
-	return writeWhole(k.path, b.whose(out))
-}
-
-// writeWhole puts a file in the place of another at once.
-func writeWhole(path string, text []byte) error {
-	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(text)
-	if err == nil {
-		err = f.Sync()
-	}
-	if err = errors.Join(err, f.Close()); err == nil {
-		err = os.Rename(f.Name(), path)
-	}
-	if err != nil {
-		os.Remove(f.Name())
-	}
-	return err
+	return files.Replace(k.path, b.whose(out))
 }
 
 // keep has a change written and waits for it a moment.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -101,16 +101,7 @@
 	p.pool = &upstream.Pool{PerServer: pool.PerServer, IdleClose: pool.IdleClose.Span(),
 		ConnectTimeout: pool.ConnectTimeout.Span()}
 	for i := range p.types {
-		below := 0
-		for j := range p.types {
-			if p.types[j].Revenue < p.types[i].Revenue {
-				below++
-			}
-		}
-		p.types[i].rank = 1
-		if least := len(p.types) - 1; below < least && p.types[i].Revenue < p.mostRevenue() {
-			p.types[i].rank = float64(below) / float64(least)
-		}
+		p.types[i].rank = rank(types, i)
 	}
 	lines, err := p.drawStanding()
 	if err != nil {
@@ -131,12 +122,20 @@
 	return p, nil
 }
 
-// mostRevenue is what the op type that earns most earns.
-func (p *Proxy) mostRevenue() (most float64) {
-	for i := range p.types {
-		most = max(most, p.types[i].Revenue)
+// rank is where an op type stands by its revenue: 1 if none earns more, else the share of the others that earn less.
+func rank(types []control.OpType, i int) float64 {
+	below, above := 0, 0
+	for _, t := range types {
+		if t.Revenue < types[i].Revenue {
+			below++
+		} else if t.Revenue > types[i].Revenue {
+			above++
+		}
+	}
+	if above == 0 {
+		return 1
 	}
-	return most
+	return float64(below) / float64(len(types)-1)
 }
 
 // drawStanding draws the table that the proxy starts with: from the servers of its zone if at least three are there.
@@ -305,7 +304,7 @@
 	for {
 		begin := time.Now()
 		subset := p.tenants.subset(whose, now.byType[i], now.bindings, allowed, begin.Sub(p.started))
-		e, borrowed := p.tenants.pickOf(whose, now.byType[i], subset, allowed.limited(), t.Repeat != control.Retryable, begin.Sub(p.started), now.bindings.wait,
+		e, borrowed := p.tenants.pickOf(whose, now.byType[i], subset, allowed.Limited(), t.Repeat != control.Retryable, begin.Sub(p.started), now.bindings.wait,
 			func(subset []tenancy.PodID) *server {
 				return now.pickFor(i, begin, func(e *server) bool {
 					return (subset == nil || slices.Contains(subset, e.pod())) && (!t.OwnZoneOnly || e.Zone == p.zone) && !slices.Contains(tried, e) && state.at(e.Server, begin)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -591,7 +591,7 @@
 		}
 	}
 	roomy, err := tab.apply(message(2, "set tenant =delo rate * tries 0.2 fence off hand * room 1.5"), s, 1, rng())
-	if err != nil || len(x.subset(who, roomy.byType[0], roomy.bindings, roomy.limits["delo"], 0)) != 3 || roomy.limits["delo"].limited() {
+	if err != nil || len(x.subset(who, roomy.byType[0], roomy.bindings, roomy.limits["delo"], 0)) != 3 || roomy.limits["delo"].Limited() {
 		t.Errorf("room for half as many pods more: %v, %v", roomy, err)
 	}
 	if free, err := limited.apply(message(3, "set tenant =delo rate * tries 0.2 fence off hand * room 1"), s, 1, rng()); err != nil || len(free.limits) != 0 {
--- a/proxy/tables.go
+++ b/proxy/tables.go
@@ -11,6 +11,7 @@
 
 	"vetchdoor/control"
 	"vetchdoor/runtime"
+	"vetchdoor/tenancy"
 )
 
 // server is all that the proxy knows of one endpoint.
@@ -98,8 +99,8 @@
 	byType   []*table // what each op type goes by; the standing table if nothing else
 	standing *table
 	out      map[control.EndpointID]bool
-	levels   map[int]level    // for all tables
-	limits   map[string]limit // of tenants, by the pilot
+	levels   map[int]level            // for all tables
+	limits   map[string]tenancy.Limit // of tenants, by the pilot
 	bindings *bindings
 }
 
@@ -279,9 +280,9 @@
 		case runtime.SetTenant:
 			n.limits = maps.Clone(n.limits)
 			if n.limits == nil {
-				n.limits = map[string]limit{}
+				n.limits = map[string]tenancy.Limit{}
 			}
-			if n.limits[c.Tenant] = (limit{c.Rate, c.Tries, c.Hand, c.Room, c.Fenced}); c.Rate < 0 && c.Hand < 0 && !c.Fenced && c.Room <= 1 {
+			if n.limits[c.Tenant] = c.Limit(); c.Limit().Free() {
 				delete(n.limits, c.Tenant)
 			}
 		case runtime.ClearState:
--- a/proxy/tenants.go
+++ b/proxy/tenants.go
@@ -31,20 +31,8 @@
 	pod  tenancy.PodID
 }
 
-// limit is what a pilot lets a tenant use here.
-type limit struct {
-	rate   float64
-	tries  float64
-	hand   float64 // ops at a time; below 0: no limit
-	room   float64 // times the pods of its subset
-	fenced bool
-}
-
-// limited tells whether the tenant may use less than others.
-func (l limit) limited() bool { return l.rate >= 0 || l.hand >= 0 || l.fenced }
-
 // unlimited is the limit of tenants of which the pilot says nothing.
-var unlimited = limit{-1, tenancy.TryBudget, -1, 1, false}
+var unlimited = tenancy.Unlimited("")
 
 // tenant is one that sent ops lately.
 type tenant struct {
@@ -116,14 +104,14 @@
 }
 
 // admit earns an op's share of a try and tells whether a tenant's limit lets the op in; one that is in is in hand until done.
-func (x *tenant) admit(l limit, rank float64, now time.Duration) bool {
+func (x *tenant) admit(l tenancy.Limit, rank float64, now time.Duration) bool {
 	if x == nil {
 		return true
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.budget.Op(l.tries)
-	return x.allowance.Admit(now, l.rate, l.hand, rank)
+	x.budget.Op(l.Tries)
+	return x.allowance.Admit(now, l.Rate, l.Hand, rank)
 }
 
 // done takes an op out of hand.
@@ -146,7 +134,7 @@
 }
 
 // pod is where a server stands among those that tenants share: its pack within its zone.
-func (e *server) pod() tenancy.PodID { return tenancy.PodID(e.Zone)<<16 | tenancy.PodID(e.Pack) }
+func (e *server) pod() tenancy.PodID { return tenancy.PodOf(e.Zone, e.Pack) }
 
 // drawn keeps the subsets of tenants among a table's servers.
 type drawn struct {
@@ -184,7 +172,7 @@
 
 // subset returns the pods that a tenant may use of a table; nil for all. It is drawn from the pods with a line, withdrawn
 // or not, and those that lost theirs lately: a tenant that makes its servers sick must not be handed others.
-func (t *tenants) subset(x *tenant, table *table, b *bindings, l limit, now time.Duration) []tenancy.PodID {
+func (t *tenants) subset(x *tenant, table *table, b *bindings, l tenancy.Limit, now time.Duration) []tenancy.PodID {
 	if t == nil || len(table.lines) == 0 {
 		return nil
 	}
@@ -208,7 +196,7 @@
 		count = seat.Size
 	}
 	if count > 1 { // one alone stays one: a second would not know what the first has written
-		count = int(math.Ceil(float64(count) * l.room))
+		count = int(math.Ceil(float64(count) * l.Room))
 	}
 	s, ok := d.of[x.name]
 	if !ok || s.count != count || !s.seat.Equal(seat) {
@@ -217,7 +205,7 @@
 			d.of[x.name] = s
 		}
 	}
-	if l.fenced && len(s.pods) > 1 {
+	if l.Fenced && len(s.pods) > 1 {
 		return s.pods[:1]
 	}
 	return s.pods
--- a/roster/cache.go
+++ b/roster/cache.go
@@ -5,9 +5,10 @@
 	"errors"
 	"fmt"
 	"os"
-	"path/filepath"
 
 	"github.com/cespare/xxhash/v2"
+
+	"vetchdoor/files"
 )
 
 // cached is the file: the list and a hash of it, so that a torn or altered copy is known for one.
@@ -26,7 +27,7 @@
 }
 
 // Save writes a pilot's list so that a reader finds the old copy or the new one, whenever the machine stops.
-func Save(path, pilot string, version uint64, entries []Entry) (err error) {
+func Save(path, pilot string, version uint64, entries []Entry) error {
 	list, err := json.Marshal(Update{Kind: "full", Version: version, Entries: entries})
 	if err != nil {
 		return err
@@ -35,27 +36,10 @@
 	if err != nil {
 		return err
 	}
-	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".new-*")
-	if err != nil {
-		return fmt.Errorf("save the list: %w", err)
-	}
-	defer func() {
-		if err != nil {
-			f.Close()
-			os.Remove(f.Name())
-			err = fmt.Errorf("save the list: %w", err)
-		}
-	}()
-	if _, err = f.Write(data); err != nil {
-		return err
-	}
-	if err = f.Sync(); err != nil {
-		return err
-	}
-	if err = f.Close(); err != nil {
-		return err
+	if err = files.Replace(path, data); err != nil {
+		err = fmt.Errorf("save the list: %w", err)
 	}
-	return os.Rename(f.Name(), path)
+	return err
 }
 
 // Load reads a pilot's copy. No copy is no error: the version is 0 and there are no entries. One of another layout or of
--- a/runtime/change.go
+++ b/runtime/change.go
@@ -64,6 +64,16 @@
 var agains = [...]string{control.Never: "never", control.IfUnrun: "if-unrun", control.OnceMore: "once",
 	control.TwiceMore: "twice"}
 
+// LimitOf is the change that says a tenant's limit.
+func LimitOf(l tenancy.Limit) Change {
+	return Change{Verb: SetTenant, Tenant: l.Tenant, Rate: l.Rate, Tries: l.Tries, Hand: l.Hand, Fenced: l.Fenced, Room: l.Room}
+}
+
+// Limit is what a SetTenant says.
+func (c Change) Limit() tenancy.Limit {
+	return tenancy.Limit{Tenant: c.Tenant, Rate: c.Rate, Tries: c.Tries, Hand: c.Hand, Fenced: c.Fenced, Room: c.Room}
+}
+
 // Append appends the change as a line, without its end.
 func (c Change) Append(b []byte) []byte {
 	switch c.Verb {
@@ -297,7 +307,7 @@
 			w.fail("%.60q is no list of pods, ZONE.PACK,…", list)
 			return nil
 		}
-		out = append(out, tenancy.PodID(z<<16|p))
+		out = append(out, tenancy.PodOf(int(z), int(p)))
 	}
 	return out
 }
--- a/syslog/sender.go
+++ b/syslog/sender.go
@@ -151,9 +151,7 @@
 	s.queue.mu.Unlock()
 	if s.spool != nil {
 		c.Spooled = s.spool.held()
-		s.spool.mu.Lock()
-		c.Torn = s.spool.torn
-		s.spool.mu.Unlock()
+		c.Torn = s.spool.lost()
 	}
 	return c
 }
@@ -196,11 +194,7 @@
 		if err := s.connect(ctx); err != nil {
 			s.failures.Add(1)
 			s.log.Debug("syslog receiver not reached", "address", s.route.Address, "error", err)
-			select {
-			case <-ctx.Done():
-			case <-time.After(time.Duration(float64(wait) * (0.5 + s.rng.Float64()))):
-			}
-			wait = min(2*wait, redialMost)
+			wait = s.rest(ctx, wait)
 			continue
 		}
 		begun := s.sent.Load()
@@ -214,12 +208,17 @@
 		if s.sent.Load() > begun {
 			wait = redialLeast
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Duration(float64(wait) * (0.5 + s.rng.Float64()))):
-		}
-		wait = min(2*wait, redialMost)
+		wait = s.rest(ctx, wait)
+	}
+}
+
+// rest waits, half to one and a half times as long, and returns the next wait.
+func (s *Sender) rest(ctx context.Context, wait time.Duration) time.Duration {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(float64(wait) * (0.5 + s.rng.Float64()))):
 	}
+	return min(2*wait, redialMost)
 }
 
 // connect dials.
@@ -412,9 +411,7 @@
 func (s *Sender) tellLoss() {
 	lost, torn := s.queue.lost(), uint64(0)
 	if s.spool != nil {
-		s.spool.mu.Lock()
-		torn = s.spool.torn
-		s.spool.mu.Unlock()
+		torn = s.spool.lost()
 	}
 	if lost == s.told && torn == s.toldTorn || s.announce == nil {
 		return
--- a/syslog/spool.go
+++ b/syslog/spool.go
@@ -215,6 +215,13 @@
 	return s.end - s.next
 }
 
+// lost is how many could not be read.
+func (s *spool) lost() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.torn
+}
+
 // peek reads the oldest record; false if there is none.
 func (s *spool) peek() (record, bool) {
 	s.mu.Lock()
--- a/tenancy/placement.go
+++ b/tenancy/placement.go
@@ -12,6 +12,9 @@
 // servers that share a table; a pod is smaller and never called a cell.
 type PodID uint32
 
+// PodOf is the pod of a pack of servers of a zone.
+func PodOf(zone, pack int) PodID { return PodID(zone)<<16 | PodID(pack) }
+
 // Pod is a pod as it stands.
 type Pod struct {
 	ID    PodID
--- a/tenancy/warden.go
+++ b/tenancy/warden.go
@@ -61,8 +61,8 @@
 	Room   float64 // times the pods that its subset has by itself, as it needs more than those can well do; 1: none beyond
 }
 
-// free is the limit of a tenant that is not limited.
-func free(name string) Limit {
+// Unlimited is the limit of a tenant that is not limited.
+func Unlimited(name string) Limit {
 	return Limit{Tenant: name, Rate: -1, Tries: TryBudget, Hand: -1, Room: 1}
 }
 
@@ -121,7 +121,7 @@
 	for _, u := range w.fold(uses) {
 		t := w.tenants[u.Tenant]
 		if t == nil {
-			t = &watched{name: u.Tenant, pods: map[PodID]*[2]float64{}, limit: free(u.Tenant)}
+			t = &watched{name: u.Tenant, pods: map[PodID]*[2]float64{}, limit: Unlimited(u.Tenant)}
 			w.tenants[u.Tenant] = t
 		}
 		t.add(u)
@@ -344,7 +344,7 @@
 			t.fences++
 		}
 	case t.limit.Limited() && t.good >= forgiving:
-		t.limit, t.good = free(t.name), 0
+		t.limit, t.good = Unlimited(t.name), 0
 	}
 }
 
