--- /dev/null
+++ b/lab/link/memory.go
@@ -0,0 +1,505 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"vetchdoor/stream"
+)
+
+// Memory is a net without sockets, for the parts of one process on a clock that may be a fake one. Whoever listens does so
+// at an address; whoever dials does so there, or at a road that leads there and delays, cuts and keeps what passes.
+type Memory struct {
+	mu     sync.Mutex
+	tap    *Tap
+	next   int
+	serves map[string]*memoryServer
+	roads  map[string]*Road
+}
+
+// NewMemory makes a net whose roads keep what passes in a tap.
+func NewMemory(tap *Tap) *Memory {
+	return &Memory{tap: tap, serves: map[string]*memoryServer{}, roads: map[string]*Road{}}
+}
+
+// Road is a way to an address. Its fields but ends are set before it is dialled.
+type Road struct {
+	Name   string
+	Target string
+	Ways   [2]Way
+	Alter  func(d Direction, b []byte) []byte // may be nil: what a piece becomes on its way
+
+	mu    sync.Mutex
+	cut   bool
+	lost  [2]bool
+	short [2]int // over 0: so many bytes more pass in this direction, and the connections break
+	ends  map[*memoryEnd]bool
+}
+
+// Road opens a way at an address of its own.
+func (m *Memory) Road(address string, r *Road) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.ends = map[*memoryEnd]bool{}
+	m.roads[address] = r
+}
+
+// Break closes its connections; new ones are taken.
+func (r *Road) Break() {
+	r.mu.Lock()
+	var all []*memoryEnd
+	for e := range r.ends {
+		all = append(all, e)
+	}
+	r.mu.Unlock()
+	for _, e := range all {
+		e.hangUp()
+		e.peer.hangUp()
+	}
+}
+
+// BreakWithin lets so many bytes more pass in a direction and breaks its connections then, in the midst of a line or not.
+func (r *Road) BreakWithin(d Direction, bytes int) {
+	r.mu.Lock()
+	r.short[d] = bytes
+	r.mu.Unlock()
+}
+
+// Lose swallows one direction.
+func (r *Road) Lose(d Direction) {
+	r.mu.Lock()
+	r.lost[d] = true
+	r.mu.Unlock()
+}
+
+// Cut has it swallow everything and refuse what dials, until Heal; nobody is told, so that its connections are half open.
+func (r *Road) Cut(cut bool) {
+	r.mu.Lock()
+	r.cut = cut
+	r.mu.Unlock()
+	if !cut {
+		r.Break()
+	}
+}
+
+// Dial connects, as stream.Net has it.
+func (m *Memory) Dial(_, address string, timeout time.Duration) (netpoll.Connection, error) {
+	m.mu.Lock()
+	r := m.roads[address]
+	to := address
+	if r != nil {
+		to = r.Target
+	}
+	s := m.serves[to]
+	m.next++
+	id := m.next
+	m.mu.Unlock()
+	cut := false
+	if r != nil {
+		r.mu.Lock()
+		cut = r.cut
+		r.mu.Unlock()
+	}
+	if cut {
+		time.Sleep(timeout)
+		return nil, netpoll.ErrDialTimeout
+	}
+	if s == nil {
+		return nil, fmt.Errorf("%w: nobody listens at %s", errRefused, to)
+	}
+	a, b := newEnd(m, r, id, Up, to), newEnd(m, r, id, Down, fmt.Sprintf("10.9.9.9:%d", 1+id%65535))
+	a.peer, b.peer = b, a
+	if r != nil {
+		r.mu.Lock()
+		r.ends[a] = true
+		r.mu.Unlock()
+	}
+	return a, s.take(b)
+}
+
+var errRefused = errors.New("connection refused")
+
+// Serve accepts connections, as stream.Net has it; port 0 takes one that is free.
+func (m *Memory) Serve(_, address string, h stream.Hooks) (stream.Server, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if host, port, err := net.SplitHostPort(address); err == nil && port == "0" {
+		m.next++
+		address = net.JoinHostPort(host, fmt.Sprint(1024+m.next%60000))
+	}
+	if m.serves[address] != nil {
+		return nil, fmt.Errorf("listen on %s: somebody listens there", address)
+	}
+	s := &memoryServer{m: m, address: address, hooks: h, ends: map[*memoryEnd]bool{}}
+	m.serves[address] = s
+	return s, nil
+}
+
+type memoryServer struct {
+	m       *Memory
+	address string
+	hooks   stream.Hooks
+	mu      sync.Mutex
+	ends    map[*memoryEnd]bool
+}
+
+func (s *memoryServer) Address() string { return s.address }
+
+// Stop takes no more and closes what is idle, as netpoll's loop does.
+func (s *memoryServer) Stop(context.Context) {
+	s.m.mu.Lock()
+	if s.m.serves[s.address] == s {
+		delete(s.m.serves, s.address)
+	}
+	s.m.mu.Unlock()
+	s.mu.Lock()
+	var idle []*memoryEnd
+	for e := range s.ends {
+		idle = append(idle, e)
+	}
+	s.mu.Unlock()
+	for _, e := range idle {
+		e.mu.Lock()
+		busy := e.busy
+		e.mu.Unlock()
+		if !busy {
+			_ = e.Close()
+		}
+	}
+}
+
+func (s *memoryServer) take(e *memoryEnd) error {
+	s.mu.Lock()
+	s.ends[e] = true
+	s.mu.Unlock()
+	ctx := s.hooks.Prepare(e)
+	e.mu.Lock()
+	e.request = func() { _ = s.hooks.Request(ctx, e) }
+	e.ended = func() {
+		s.mu.Lock()
+		delete(s.ends, e)
+		s.mu.Unlock()
+		if s.hooks.Gone != nil {
+			s.hooks.Gone(ctx)
+		}
+	}
+	gone := !e.active
+	e.mu.Unlock()
+	if gone {
+		e.hangUp()
+	}
+	return nil
+}
+
+// memoryEnd is one end of a connection. Bytes that its owner writes come to its peer in order, each piece when it is due.
+type memoryEnd struct {
+	net.Conn   // none
+	m          *Memory
+	road       *Road
+	id         int
+	direction  Direction // in which its owner writes
+	remote     string
+	peer       *memoryEnd
+	mu         sync.Mutex
+	active     bool
+	said       bool // its peer has been told that it ended
+	busy       bool // a request or the callbacks are under way
+	in         []byte
+	way        []piece // on the way to this end
+	due        time.Time
+	came       chan struct{} // closed and made anew as something happens
+	patience   time.Duration // of a read; 0: without end
+	request    func()
+	ended      func()
+	closed     []netpoll.CloseCallback
+	hungUp     bool
+	terminated bool
+}
+
+func newEnd(m *Memory, r *Road, id int, d Direction, remote string) *memoryEnd {
+	return &memoryEnd{m: m, road: r, id: id, direction: d, remote: remote, active: true, came: make(chan struct{})}
+}
+
+// wake tells those who wait that something happened; e.mu is held.
+func (e *memoryEnd) wake() {
+	close(e.came)
+	e.came = make(chan struct{})
+}
+
+// Write sends a piece to the peer, whole.
+func (e *memoryEnd) Write(b []byte) (int, error) {
+	e.mu.Lock()
+	active := e.active
+	e.mu.Unlock()
+	if !active {
+		return 0, netpoll.ErrConnClosed
+	}
+	p, breaks := append([]byte(nil), b...), false
+	if r := e.road; r != nil {
+		r.mu.Lock()
+		cut := r.cut || r.lost[e.direction]
+		if r.Alter != nil {
+			p = r.Alter(e.direction, p)
+		}
+		if short := &r.short[e.direction]; *short > 0 && !cut {
+			if breaks = len(p) >= *short; breaks {
+				p, *short = p[:*short], 0
+			} else {
+				*short -= len(p)
+			}
+		}
+		r.mu.Unlock()
+		if cut {
+			return len(b), nil
+		}
+	}
+	e.send(piece{data: p, came: e.now()})
+	if breaks {
+		e.hangUp()
+		e.send(piece{})
+	}
+	return len(b), nil
+}
+
+func (e *memoryEnd) now() time.Duration {
+	if e.m.tap == nil {
+		return 0
+	}
+	return e.m.tap.now()
+}
+
+// send puts a piece on the way to the peer; one without data is the connection's end.
+func (e *memoryEnd) send(p piece) {
+	delay := time.Duration(0)
+	if e.road != nil && e.road.Ways[e.direction] != nil {
+		delay = e.road.Ways[e.direction]()
+	}
+	to := e.peer
+	to.mu.Lock()
+	if p.due = time.Now().Add(delay); p.due.Before(to.due) {
+		p.due = to.due
+	}
+	to.due = p.due
+	to.way = append(to.way, p)
+	wait := time.Until(p.due)
+	to.mu.Unlock()
+	time.AfterFunc(wait, to.arrive)
+}
+
+// arrive takes the next piece in.
+func (e *memoryEnd) arrive() {
+	e.mu.Lock()
+	p := e.way[0]
+	e.way = e.way[1:]
+	if p.data == nil {
+		e.mu.Unlock()
+		e.hangUp()
+		return
+	}
+	if e.road != nil {
+		e.road.mu.Lock()
+		cut := e.road.cut
+		e.road.mu.Unlock()
+		if cut {
+			e.mu.Unlock()
+			return
+		}
+	}
+	taken := e.active
+	if taken {
+		e.in = append(e.in, p.data...)
+		e.wake()
+	}
+	e.mu.Unlock()
+	if taken && e.road != nil {
+		e.m.tap.keep(Passed{Link: e.road.Name, Conn: e.id, Direction: 1 - e.direction, Came: p.came, Gone: e.now(), Data: p.data})
+	}
+	e.turn()
+}
+
+// turn has what came handled, and the end told, one goroutine at a time.
+func (e *memoryEnd) turn() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.busy || !(len(e.in) > 0 && e.active && e.request != nil || e.hungUp && !e.terminated) {
+		return
+	}
+	e.busy = true
+	go func() {
+		for {
+			e.mu.Lock()
+			if len(e.in) > 0 && e.active && e.request != nil {
+				before, request := len(e.in), e.request
+				e.mu.Unlock()
+				request()
+				e.mu.Lock()
+				if after := len(e.in); after > 0 && after == before && e.active { // it waits for more
+					e.busy = false
+					e.mu.Unlock()
+					return
+				}
+				e.mu.Unlock()
+				continue
+			}
+			if !e.hungUp || e.terminated {
+				e.busy = false
+				e.mu.Unlock()
+				return
+			}
+			e.terminated = true
+			callbacks := e.closed
+			e.mu.Unlock()
+			for _, f := range callbacks {
+				_ = f(e)
+			}
+		}
+	}()
+}
+
+// hangUp notes that the connection is over at this end: by its owner, its peer, or the road.
+func (e *memoryEnd) hangUp() {
+	e.mu.Lock()
+	first := !e.hungUp
+	e.hungUp, e.active = true, false
+	ended := e.ended
+	e.wake()
+	e.mu.Unlock()
+	if first && e.road != nil && e.direction == Up {
+		e.road.mu.Lock()
+		delete(e.road.ends, e)
+		e.road.mu.Unlock()
+		e.m.tap.keep(Passed{Link: e.road.Name, Conn: e.id, Came: e.now(), Gone: e.now(), End: true})
+	}
+	if first && ended != nil {
+		ended()
+	}
+	e.turn()
+}
+
+// Close ends the connection; the peer learns of it by the road.
+func (e *memoryEnd) Close() error {
+	e.mu.Lock()
+	tell := !e.said && !e.hungUp
+	e.said = true
+	e.mu.Unlock()
+	cut := false
+	if r := e.road; r != nil {
+		r.mu.Lock()
+		cut = r.cut
+		r.mu.Unlock()
+	}
+	e.hangUp()
+	if tell && !cut {
+		e.send(piece{})
+	}
+	return nil
+}
+
+// Shut is as Close, with the callbacks beside whoever calls it, as a socket's come.
+func (e *memoryEnd) Shut() { go func() { _ = e.Close() }() }
+
+func (e *memoryEnd) IsActive() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.active
+}
+
+func (e *memoryEnd) RemoteAddr() net.Addr {
+	if a, err := net.ResolveTCPAddr("tcp", e.remote); err == nil {
+		return a
+	}
+	return &net.UnixAddr{Name: e.remote, Net: "memory"}
+}
+
+func (e *memoryEnd) Reader() netpoll.Reader { return memoryReader{e: e} }
+func (e *memoryEnd) Writer() netpoll.Writer { return nil }
+
+func (e *memoryEnd) SetReadTimeout(d time.Duration) error {
+	e.mu.Lock()
+	e.patience = d
+	e.mu.Unlock()
+	return nil
+}
+
+func (e *memoryEnd) SetWriteTimeout(time.Duration) error { return nil }
+func (e *memoryEnd) SetIdleTimeout(time.Duration) error  { return nil }
+
+func (e *memoryEnd) SetOnRequest(on netpoll.OnRequest) error {
+	e.mu.Lock()
+	e.request = func() { _ = on(context.Background(), e) }
+	e.mu.Unlock()
+	e.turn()
+	return nil
+}
+
+func (e *memoryEnd) AddCloseCallback(f netpoll.CloseCallback) error {
+	e.mu.Lock()
+	e.closed = append(e.closed, f)
+	e.mu.Unlock()
+	return nil
+}
+
+// memoryReader reads what came; the methods that nobody here uses are netpoll's, of none.
+type memoryReader struct {
+	netpoll.Reader
+	e *memoryEnd
+}
+
+func (r memoryReader) Len() int {
+	r.e.mu.Lock()
+	defer r.e.mu.Unlock()
+	return len(r.e.in)
+}
+
+func (r memoryReader) Release() error { return nil }
+
+func (r memoryReader) Peek(n int) ([]byte, error) {
+	e := r.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var late <-chan time.Time
+	if e.patience > 0 && len(e.in) < n {
+		t := time.NewTimer(e.patience)
+		defer t.Stop()
+		late = t.C
+	}
+	for len(e.in) < n {
+		if !e.active {
+			return nil, netpoll.ErrConnClosed
+		}
+		came := e.came
+		e.mu.Unlock()
+		select {
+		case <-came:
+			e.mu.Lock()
+		case <-late:
+			e.mu.Lock()
+			return nil, netpoll.ErrReadTimeout
+		}
+	}
+	return e.in[:n:n], nil
+}
+
+func (r memoryReader) Next(n int) ([]byte, error) {
+	b, err := r.Peek(n)
+	if err == nil {
+		err = r.Skip(n)
+	}
+	return b, err
+}
+
+func (r memoryReader) Skip(n int) error {
+	r.e.mu.Lock()
+	defer r.e.mu.Unlock()
+	if n > len(r.e.in) {
+		return netpoll.ErrConnClosed
+	}
+	r.e.in = r.e.in[n:]
+	return nil
+}
--- a/lab/node/node.go
+++ b/lab/node/node.go
@@ -16,6 +16,7 @@
 	"vetchdoor/files"
 	"vetchdoor/http1"
 	"vetchdoor/serve"
+	"vetchdoor/stream"
 )
 
 // Fields by which clients of the laboratory mark their ops.
@@ -41,7 +42,8 @@
 	zone    int
 	ledger  *Ledger
 	speed   float64
-	Killed  func() // called once an op has killed it; may be nil
+	Killed  func()     // called once an op has killed it; may be nil
+	Net     stream.Net // nil: sockets
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -164,7 +166,7 @@
 	if n.up || n.fallen {
 		return nil
 	}
-	s := &serve.Server{Handle: n.handle, Open: n.open, Closed: n.closed}
+	s := &serve.Server{Handle: n.handle, Open: n.open, Closed: n.closed, Net: n.Net}
 	if err := s.Start(n.address); err != nil {
 		return err
 	}
--- a/lab/roster/roster.go
+++ b/lab/roster/roster.go
@@ -36,12 +36,17 @@
 
 // Start listens and serves a first list.
 func Start(address string, entries []list.Entry) (*Server, error) {
+	return StartOver(nil, address, entries)
+}
+
+// StartOver does so over a net; nil: sockets.
+func StartOver(over stream.Net, address string, entries []list.Entry) (*Server, error) {
 	s := &Server{version: 1, entries: map[control.EndpointID]list.Entry{}, watchers: map[*watcher]bool{}}
 	for _, e := range entries {
 		s.entries[e.Endpoint] = e
 	}
 	var err error
-	s.ln, err = stream.Listen(address, func(c *stream.Conn) stream.Handler {
+	s.ln, err = stream.Listen(over, address, func(c *stream.Conn) stream.Handler {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.down {
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -56,6 +56,9 @@
 	// Info, if not nil at Start, adds lines to show info.
 	Info func(io.Writer)
 
+	// Net, if not nil at Start, is what connections to proxies, servers, peers and the list run over; else sockets.
+	Net stream.Net
+
 	inbox    chan func()
 	stop     chan struct{}
 	stopped  chan struct{}
@@ -143,7 +146,8 @@
 		}
 	}()
 	rng := rand.New(rand.NewPCG(p.seed, uint64(p.file.Instance)))
-	p.source = &roster.Client{Address: p.file.Roster, Log: p.log, Rand: rng,
+	p.probes.Net = p.Net
+	p.source = &roster.Client{Address: p.file.Roster, Log: p.log, Rand: rng, Net: p.Net,
 		Take: func(u *roster.Update) { p.post(func() { p.listed(u) }) }}
 	if p.file.Cache != "" {
 		version, entries, err := roster.Load(p.file.Cache, p.file.Name)
@@ -169,7 +173,7 @@
 	p.records = newRecorder(p.Records, p.file.Name, types, p.run, p.now)
 	p.records.began(p.run, "start")
 	p.fresh()
-	if p.ln, err = stream.Listen(p.file.Listen, p.accept); err != nil {
+	if p.ln, err = stream.Listen(p.Net, p.file.Listen, p.accept); err != nil {
 		return err
 	}
 	if p.file.Admin != "" {
--- a/pilot/streams.go
+++ b/pilot/streams.go
@@ -375,7 +375,7 @@
 		p.noting.Add(1)
 		p.done.Go(func() {
 			defer p.noting.Add(-1)
-			if c, err := stream.Dial(peer.Address, time.Second, quiet{}); err == nil {
+			if c, err := stream.Dial(p.Net, peer.Address, time.Second, quiet{}); err == nil {
 				_ = c.Send(note)
 				c.End()
 			}
--- a/proxy/orders.go
+++ b/proxy/orders.go
@@ -86,7 +86,7 @@
 func (o *orders) serve(ctx context.Context, address string) (welcomed bool, hint string) {
 	l := &link{o: o, scan: runtime.NewScanner(runtime.Orders), queue: make(chan *runtime.Message, 1024),
 		closed: make(chan struct{}), last: time.Now()}
-	conn, err := stream.Dial(address, 2*time.Second, l)
+	conn, err := stream.Dial(o.proxy.Net, address, 2*time.Second, l)
 	if err != nil {
 		o.log.Debug("pilot not reached", "address", address, "error", err)
 		return false, ""
@@ -156,7 +156,7 @@
 // knock asks a pilot whether it would take this proxy.
 func (o *orders) knock(address string) bool {
 	k := &knocking{scan: runtime.NewScanner(runtime.Orders), answer: make(chan bool, 1)}
-	conn, err := stream.Dial(address, time.Second, k)
+	conn, err := stream.Dial(o.proxy.Net, address, time.Second, k)
 	if err != nil {
 		return false
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -24,6 +24,7 @@
 	"vetchdoor/runtime"
 	"vetchdoor/serve"
 	"vetchdoor/session"
+	"vetchdoor/stream"
 	"vetchdoor/tenancy"
 	"vetchdoor/upstream"
 )
@@ -55,6 +56,9 @@
 	// More, if not nil at Start, adds lines to show info.
 	More func(io.Writer)
 
+	// Net, if not nil at Start, is what connections to clients, servers and pilots run over; else sockets.
+	Net stream.Net
+
 	// ApplyFor, if not nil, is how long a message stalls the proxy before it applies; a rehearsal's way of a slow one.
 	ApplyFor func(m *runtime.Message) time.Duration
 }
@@ -175,6 +179,7 @@
 func (p *Proxy) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
+	p.pool.Net, p.server.Net = p.Net, p.Net
 	if err := p.server.Start(p.file.Listen); err != nil {
 		cancel()
 		return err
--- a/roster/client.go
+++ b/roster/client.go
@@ -18,6 +18,7 @@
 	Log     *slog.Logger
 	Rand    *rand.Rand
 	Take    func(u *Update) // called from one goroutine at a time
+	Net     stream.Net      // nil: sockets
 
 	mu   sync.Mutex
 	conn *stream.Conn
@@ -35,7 +36,7 @@
 	}
 	for ctx.Err() == nil {
 		s := &session{client: c, ended: make(chan struct{})}
-		conn, err := stream.Dial(c.Address, 2*time.Second, s)
+		conn, err := stream.Dial(c.Net, c.Address, 2*time.Second, s)
 		if err == nil {
 			c.mu.Lock()
 			c.conn = conn
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -7,7 +7,6 @@
 	"errors"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -28,14 +27,14 @@
 	Idle   time.Duration                   // a connection without a request for so long is closed; 0: a minute
 	Slow   time.Duration                   // a request must be whole this long after its first byte; 0: ten seconds
 
-	loop    netpoll.EventLoop
-	address string
+	Net stream.Net // nil: sockets
+
+	server  stream.Server
 	mu      sync.Mutex
 	conns   map[*Conn]bool
 	closing atomic.Bool
 	busy    atomic.Int64 // connections with a request under way
 	stop    chan struct{}
-	done    chan struct{}
 }
 
 // Conn is a client's connection.
@@ -65,32 +64,23 @@
 	if s.Slow <= 0 {
 		s.Slow = 10 * time.Second
 	}
-	s.conns, s.stop, s.done = map[*Conn]bool{}, make(chan struct{}), make(chan struct{})
-	ln, err := stream.NewListener("tcp", address)
-	if err != nil {
-		return err
-	}
-	s.address = ln.Addr().String()
-	s.loop, err = netpoll.NewEventLoop(s.request, netpoll.WithOnPrepare(s.prepare),
-		netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) {
+	s.conns, s.stop = map[*Conn]bool{}, make(chan struct{})
+	var err error
+	s.server, err = stream.Over(s.Net).Serve("tcp", address, stream.Hooks{Prepare: s.prepare, Request: s.request,
+		Gone: func(ctx context.Context) {
 			if c, ok := ctx.Value(key{}).(*Conn); ok { // the close callback would wait for the request under way
 				c.ended()
 			}
-		}))
+		}})
 	if err != nil {
-		ln.Close()
 		return err
 	}
-	go func() {
-		defer close(s.done)
-		_ = s.loop.Serve(ln)
-	}()
 	go s.sweep()
 	return nil
 }
 
 // Address is where it listens.
-func (s *Server) Address() string { return s.address }
+func (s *Server) Address() string { return s.server.Address() }
 
 func (s *Server) prepare(nc netpoll.Connection) context.Context {
 	c := &Conn{nc: nc, server: s, parser: http1.Requests(s.Bounds)}
@@ -161,8 +151,8 @@
 // it after ended was called.
 func (c *Conn) Drop() {
 	c.mu.Lock()
-	if fd, ok := c.nc.(netpoll.Conn); ok && !c.gone {
-		_ = syscall.Shutdown(fd.Fd(), syscall.SHUT_RDWR)
+	if !c.gone {
+		stream.Shut(c.nc)
 	}
 	c.mu.Unlock()
 	_ = c.nc.Close()
@@ -276,7 +266,7 @@
 	if s.closing.Swap(true) {
 		return
 	}
-	stream.Shutdown(ctx, s.loop, s.done)
+	s.server.Stop(ctx)
 	for s.busy.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(2 * time.Millisecond)
 	}
--- a/session/session.go
+++ b/session/session.go
@@ -46,7 +46,7 @@
 	var mu sync.Mutex
 	open := 0
 	var err error
-	l.ln, err = stream.Listen(address, func(c *stream.Conn) stream.Handler {
+	l.ln, err = stream.Listen(nil, address, func(c *stream.Conn) stream.Handler {
 		mu.Lock()
 		defer mu.Unlock()
 		if open >= mostSessions {
--- a/stream/listener.go
+++ b/stream/listener.go
@@ -1,14 +1,12 @@
 package stream
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
 	"os"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/cloudwego/netpoll"
 )
@@ -99,17 +97,3 @@
 
 func (l *listener) Addr() net.Addr { return l.ln.Addr() }
 func (l *listener) Fd() int        { return l.fd }
-
-// Shutdown ends an event loop that serves in another goroutine, which closes done as it returns: no new connections,
-// those that are idle closed, those with a call under way waited for until the context ends. A loop that has not come
-// to serve yet is ended as soon as it has.
-func Shutdown(ctx context.Context, loop netpoll.EventLoop, done <-chan struct{}) {
-	for {
-		_ = loop.Shutdown(ctx)
-		select {
-		case <-done:
-			return
-		case <-time.After(2 * time.Millisecond):
-		}
-	}
-}
--- /dev/null
+++ b/stream/net.go
@@ -0,0 +1,96 @@
+package stream
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// Net is how connections come about: sockets, or in a rehearsal links in memory. A nil one stands for sockets where a
+// package takes one.
+type Net interface {
+	Dial(network, address string, timeout time.Duration) (netpoll.Connection, error)
+	Serve(network, address string, h Hooks) (Server, error)
+}
+
+// Hooks are what a server is told of its connections. Prepare comes before anything else of a connection; what it returns
+// goes to the others. Request comes whenever bytes are there, one call at a time a connection. Gone, if not nil, comes as
+// the peer goes, also while a request is under way.
+type Hooks struct {
+	Prepare func(netpoll.Connection) context.Context
+	Request func(context.Context, netpoll.Connection) error
+	Gone    func(context.Context)
+}
+
+// Server accepts connections.
+type Server interface {
+	Address() string
+	Stop(ctx context.Context) // accepts no more; connections that are idle close, others are waited for until the context ends
+}
+
+// Over is the net given, or sockets.
+func Over(n Net) Net {
+	if n == nil {
+		return sockets{}
+	}
+	return n
+}
+
+// Shut ends a connection in both directions without taking its buffers back, so that whoever still reads from it may.
+func Shut(nc netpoll.Connection) {
+	switch nc := nc.(type) {
+	case netpoll.Conn:
+		_ = syscall.Shutdown(nc.Fd(), syscall.SHUT_RDWR)
+	case interface{ Shut() }:
+		nc.Shut()
+	}
+}
+
+type sockets struct{}
+
+func (sockets) Dial(network, address string, timeout time.Duration) (netpoll.Connection, error) {
+	return netpoll.DialConnection(network, address, timeout)
+}
+
+func (sockets) Serve(network, address string, h Hooks) (Server, error) {
+	ln, err := NewListener(network, address)
+	if err != nil {
+		return nil, err
+	}
+	s := &socketServer{address: ln.Addr().String(), done: make(chan struct{})}
+	options := []netpoll.Option{netpoll.WithOnPrepare(h.Prepare)}
+	if h.Gone != nil {
+		options = append(options, netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) { h.Gone(ctx) }))
+	}
+	if s.loop, err = netpoll.NewEventLoop(h.Request, options...); err != nil {
+		ln.Close()
+		return nil, err
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.loop.Serve(ln)
+	}()
+	return s, nil
+}
+
+type socketServer struct {
+	address string
+	loop    netpoll.EventLoop
+	done    chan struct{}
+}
+
+func (s *socketServer) Address() string { return s.address }
+
+// Stop ends the loop. One that has not come to serve yet is ended as soon as it has.
+func (s *socketServer) Stop(ctx context.Context) {
+	for {
+		_ = s.loop.Shutdown(ctx)
+		select {
+		case <-s.done:
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+}
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -53,10 +53,10 @@
 	return "tcp", address
 }
 
-// Dial connects. No data comes to the handler before something was sent.
-func Dial(address string, timeout time.Duration, h Handler) (*Conn, error) {
+// Dial connects over a net; nil: sockets. No data comes to the handler before something was sent.
+func Dial(over Net, address string, timeout time.Duration, h Handler) (*Conn, error) {
 	n, a := network(address)
-	nc, err := netpoll.DialConnection(n, a, timeout)
+	nc, err := Over(over).Dial(n, a, timeout)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
@@ -179,34 +179,24 @@
 // Listener accepts connections.
 type Listener struct {
 	address string
-	loop    netpoll.EventLoop
+	server  Server
 	mu      sync.Mutex
 	conns   map[*Conn]bool
-	done    chan struct{}
 	path    string
 }
 
 type connKey struct{}
 
-// Listen accepts connections on an address, unix:PATH or HOST:PORT (port 0: any that is free), until Close. accept
-// returns who handles a new one; nil refuses it.
-func Listen(address string, accept func(c *Conn) Handler) (*Listener, error) {
+// Listen accepts connections over a net (nil: sockets) on an address, unix:PATH or HOST:PORT (port 0: any that is free),
+// until Close. accept returns who handles a new one; nil refuses it.
+func Listen(over Net, address string, accept func(c *Conn) Handler) (*Listener, error) {
 	n, a := network(address)
 	if n == "unix" {
 		if err := dropStale(a); err != nil {
 			return nil, err
 		}
 	}
-	ln, err := NewListener(n, a)
-	if err != nil {
-		return nil, err
-	}
-	l := &Listener{address: address, conns: map[*Conn]bool{}, done: make(chan struct{})}
-	if n == "tcp" {
-		l.address = ln.Addr().String()
-	} else {
-		l.path = a
-	}
+	l := &Listener{address: address, conns: map[*Conn]bool{}}
 	prepare := func(nc netpoll.Connection) context.Context {
 		c := &Conn{nc: nc}
 		if c.handler = accept(c); c.handler == nil {
@@ -238,14 +228,15 @@
 		}
 		return nc.Close()
 	}
-	if l.loop, err = netpoll.NewEventLoop(request, netpoll.WithOnPrepare(prepare)); err != nil {
-		ln.Close()
+	var err error
+	if l.server, err = Over(over).Serve(n, a, Hooks{Prepare: prepare, Request: request}); err != nil {
 		return nil, err
 	}
-	go func() {
-		defer close(l.done)
-		_ = l.loop.Serve(ln)
-	}()
+	if n == "tcp" {
+		l.address = l.server.Address()
+	} else {
+		l.path = a
+	}
 	return l, nil
 }
 
@@ -279,7 +270,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	Shutdown(ctx, l.loop, l.done)
+	l.server.Stop(ctx)
 	if l.path != "" {
 		_ = os.Remove(l.path)
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -8,12 +8,12 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
 
 	"vetchdoor/http1"
+	"vetchdoor/stream"
 )
 
 // Failure is how a request went without an answer.
@@ -33,6 +33,7 @@
 	PerServer      int           // connections to one server at most; 0: 256
 	IdleClose      time.Duration // 0: 15 seconds
 	ConnectTimeout time.Duration // 0: 250 milliseconds
+	Net            stream.Net    // nil: sockets
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -93,8 +94,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.gone = true
-	if fd, ok := c.nc.(netpoll.Conn); ok {
-		_ = syscall.Shutdown(fd.Fd(), syscall.SHUT_RDWR)
+	if c.nc != nil {
+		stream.Shut(c.nc)
 	}
 }
 
@@ -243,7 +244,7 @@
 	var nc netpoll.Connection
 	err := error(netpoll.ErrDialTimeout)
 	if timeout > 0 {
-		nc, err = netpoll.DialConnection("tcp", address, timeout)
+		nc, err = stream.Over(p.Net).Dial("tcp", address, timeout)
 	}
 	if err != nil {
 		p.mu.Lock()
