Proxies come home to their first pilot again, and back off from one that drops them

Seen: fleet.Choice.Up was never called by the program, so a proxy that had been sent away never looked for its home, and each stream that broke cleared what was counted against dialling. TestRolling passed only because its proxies found their pilot silent every 400 ms and dialled from the top. Ruled out: the choice itself, whose tests call Up. At fault: proxy/orders.go serve, which now tells the choice of the welcome. Beside it a welcome read while its stream ends no longer counts as joined, and a second welcome ends a stream.

--- a/pilot/fleet_test.go
+++ b/pilot/fleet_test.go
@@ -14,6 +14,7 @@
 
 	"vetchdoor/control"
 	"vetchdoor/files"
+	"vetchdoor/fleet"
 	stand "vetchdoor/lab/roster"
 	"vetchdoor/members"
 	"vetchdoor/proxy"
@@ -82,7 +83,7 @@
 	x.t.Helper()
 	for id := range n {
 		f := &files.Proxy{Kind: "proxy", ID: uint16(id), Zone: "z", Listen: "127.0.0.1:0", Redial: files.Duration(10 * time.Millisecond), Service: service(),
-			Silent: files.Duration(400 * time.Millisecond)}
+			Silent: files.Duration(4 * time.Second)}
 		for _, p := range x.files {
 			f.Pilots = append(f.Pilots, files.PilotAddress{Address: p.Listen, Zone: "z"})
 		}
@@ -148,8 +149,17 @@
 		}
 	}
 	x.start(0)
-	x.until("some come home", func() bool { return x.info(0, "\nProxies: ") && !x.info(0, "\nProxies: 0\n") })
-	x.until("all are somewhere", sum)
+	home := 0
+	for id := range all {
+		at := []fleet.At{{Address: x.files[0].Listen, Zone: "z"}, {Address: x.files[1].Listen, Zone: "z"}}
+		if fleet.NewChoice(fmt.Sprint(id), "z", at, fleet.Waits{}, nil).Ranked()[0] == x.files[0].Listen {
+			home++
+		}
+	}
+	if home == 0 || home == len(all) {
+		t.Fatalf("%d of %d have their home at the first", home, len(all))
+	}
+	x.until("those whose home it is are there", x.joined(home, len(all)-home))
 }
 
 // Any pilot shows the fleet; a member that is forged, or bears another's name, is shown and changes nothing that is decided:
--- a/proxy/orders.go
+++ b/proxy/orders.go
@@ -26,7 +26,6 @@
 	choice *fleet.Choice // the dialler's own
 	mu     sync.Mutex
 	up     *link // the stream that has been welcomed
-	ended  bool
 }
 
 // link is one stream.
@@ -36,6 +35,7 @@
 	scan    *runtime.Scanner
 	pilot   runtime.Welcome
 	greeted bool
+	greets  chan struct{}         // closed with the welcome
 	hint    string                // another pilot that this one said to go to
 	queue   chan *runtime.Message // taken in, not yet applied
 	mu      sync.Mutex
@@ -85,7 +85,7 @@
 // serve holds one stream until it breaks; it tells whether the pilot had welcomed this proxy, and where it said to go.
 func (o *orders) serve(ctx context.Context, address string) (welcomed bool, hint string) {
 	l := &link{o: o, scan: runtime.NewScanner(runtime.Orders), queue: make(chan *runtime.Message, 1024),
-		closed: make(chan struct{}), last: time.Now()}
+		closed: make(chan struct{}), greets: make(chan struct{}), last: time.Now()}
 	conn, err := stream.Dial(o.proxy.Net, address, 2*time.Second, l)
 	if err != nil {
 		o.log.Debug("pilot not reached", "address", address, "error", err)
@@ -115,8 +115,12 @@
 	}
 	check := time.NewTicker(silent / 4)
 	defer check.Stop()
+	greets := l.greets
 	for up := true; up; {
 		select {
+		case <-greets:
+			greets = nil
+			o.choice.Up(time.Since(p.started), address)
 		case <-l.closed:
 			up = false
 		case <-ctx.Done():
@@ -147,6 +151,9 @@
 		o.up = nil
 	}
 	o.mu.Unlock()
+	if welcomed && greets != nil { // it ended before that was seen
+		o.choice.Up(time.Since(p.started), address)
+	}
 	if welcomed && ctx.Err() == nil {
 		o.log.Info("stream to the pilot broke; tables stand", "address", address)
 	}
@@ -243,11 +250,21 @@
 	switch {
 	case cmd.Is("welcome"):
 		w, err := runtime.ParseWelcome(cmd)
+		if err == nil && l.greeted {
+			err = errors.New("a second welcome")
+		}
 		if err != nil {
 			return err
 		}
 		l.o.mu.Lock()
+		select {
+		case <-l.closed: // it ended meanwhile, and the dialler has done with it
+			l.o.mu.Unlock()
+			return nil
+		default:
+		}
 		l.pilot, l.greeted = w, true
+		close(l.greets)
 		l.o.up = l
 		l.mu.Lock()
 		l.conn = c
