A module that hangs is noticed also while its pilot is being ended

Seen: Stop beside a module that does not come back waited without end, and nobody was told. Ruled out: the leave, which ends at once where there are no peers. At fault: pilot/pilot.go, whose guard ended with the context that Stop cancels before it waits for the loop; it now watches for as long as the loop runs.

--- a/pilot/fleet_test.go
+++ b/pilot/fleet_test.go
@@ -282,6 +282,30 @@
 	p.Kill()
 }
 
+// A module that does not come back is noticed also while the pilot is being ended, which would else wait for it without end.
+func TestStuckWhileEnding(t *testing.T) {
+	f := pilotFile("127.0.0.1:1")
+	f.Silent = files.Duration(200 * time.Millisecond)
+	p, err := New(f, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	release, noticed, ended := make(chan bool), make(chan bool, 1), make(chan bool)
+	p.newDecider = func() decider { return hanging(release) }
+	p.Stuck = func() { noticed <- true }
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.Stop(); close(ended) }()
+	select {
+	case <-noticed:
+	case <-time.After(5 * time.Second):
+		t.Error("nobody noticed")
+	}
+	close(release)
+	<-ended
+}
+
 type hanging chan bool
 
 func (h hanging) Decide(time.Duration, []control.Event) []control.Order {
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -187,7 +187,7 @@
 	}
 	p.done.Add(2)
 	go func() { defer p.done.Done(); p.source.Run(ctx) }()
-	go func() { defer p.done.Done(); p.guard(ctx) }()
+	go func() { defer p.done.Done(); p.guard() }()
 	p.log.Info("pilot runs", "listen", p.ln.Address(), "run", p.run, "list", len(p.list)) // before the loop owns the list
 	go p.loop()
 	return nil
@@ -436,13 +436,13 @@
 	return p.assigner.Decide(now, events), nil
 }
 
-// guard watches the module from beside the loop.
-func (p *Pilot) guard(ctx context.Context) {
+// guard watches the module from beside the loop, for as long as that runs: an end waits for the loop too.
+func (p *Pilot) guard() {
 	t := time.NewTicker(max(p.silent/40, time.Millisecond))
 	defer t.Stop()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-p.stopped:
 			return
 		case <-t.C:
 		}
