A pilot whose clock was set back goes on beyond the run that its proxies hold

Ruled out: the proxies, which must refuse a run that is over. At fault: pilot/streams.go hello, which did not look at the run that a proxy holds; the pilot now starts a run beyond it, at most once per silent_after, so that a broken proxy cannot have it do so for ever.

--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -86,10 +86,11 @@
 	loads        map[tenancy.PodID]*[2]float64 // what servers said since the last look: sum and number
 	mover        *mover                        // nil: tenants are not moved
 	records      *recorder
-	fresher      string // where the list is from: list, cache, or nowhere
-	given        bool   // the module has had a list with servers on it
-	leaving      bool   // it ends: proxies are sent to others
-	turned       uint64 // hellos that were sent elsewhere
+	fresher      string    // where the list is from: list, cache, or nowhere
+	given        bool      // the module has had a list with servers on it
+	leaving      bool      // it ends: proxies are sent to others
+	turned       uint64    // hellos that were sent elsewhere
+	outran       time.Time // when a proxy last held a later run than this one
 	events       []control.Event
 	batch        *time.Timer // set while events wait for their tick
 	pace         *time.Timer // set while a message waits for its time
@@ -410,7 +411,8 @@
 	p.deciding += p.now() - now
 	p.batches++
 	if fault != nil {
-		p.restart()
+		p.panics++
+		p.restart("panic")
 		return
 	}
 	messages, rest := p.book.write(orders)
@@ -473,9 +475,9 @@
 	return s
 }
 
-// restart goes on after a panic as a new run: the streams are closed, the proxies keep their tables and join again.
-func (p *Pilot) restart() {
-	p.panics++
+// restart goes on as a new run, after a panic or where this one is too old: the streams are closed, the proxies keep their
+// tables and join again.
+func (p *Pilot) restart(why control.Reason) {
 	p.run++
 	for id := range p.sessions {
 		p.away(id)
@@ -484,7 +486,7 @@
 		w.conn.Close()
 		delete(p.wires, w)
 	}
-	p.records.began(p.run, "panic")
+	p.records.began(p.run, why)
 	p.fresh()
 	p.batch.Reset(p.facts.Tick)
 }
--- a/pilot/pilot_test.go
+++ b/pilot/pilot_test.go
@@ -421,6 +421,35 @@
 	r.until("the new run orders", func() bool { return strings.Contains(x.Stat(), "e0,UP,3") && !strings.Contains(x.Stat(), "e1,") })
 }
 
+// A pilot that starts by a clock that was set back goes on beyond the run that its proxies hold: they refuse an older one.
+func TestClockSetBack(t *testing.T) {
+	r := newRig(t)
+	x := r.proxy(1, r.link.Address(), nil)
+	r.until("joined", func() bool { return count[control.Joined](r.module) == 1 })
+	r.order(append(table(1, 2), control.Bind{Proxy: 1}, control.Checkpoint{Number: 1})...)
+	r.until("bound", func() bool { return count[control.InForce](r.module) == 1 })
+	f, run := *r.p.file, r.p.run
+	f.Listen = r.p.Address()
+	r.p.Kill()
+	p, err := New(&f, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.run, p.newDecider = run-3_600_000_000, func() decider { return r.module }
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	r.p = p
+	ordered := time.Time{}
+	r.until("in force by the new run", func() bool {
+		if strings.Contains(x.Info(), "Joined: true") && time.Since(ordered) > 100*time.Millisecond {
+			ordered = time.Now()
+			r.order(append(table(1, 7), control.Bind{Proxy: 1}, control.Checkpoint{Number: 2})...)
+		}
+		return strings.Contains(x.Stat(), "e1,UP,7")
+	})
+}
+
 // People may ask at any time, by hand or by script.
 func TestSession(t *testing.T) {
 	r := newRig(t)
--- a/pilot/streams.go
+++ b/pilot/streams.go
@@ -170,6 +170,10 @@
 		p.reject(w, fmt.Sprintf("zone %d is none of the %d", h.Zone, len(p.file.Service.Zones)))
 		return
 	}
+	if h.Pilot == p.file.Name && h.Run > p.run {
+		p.outrun(w, h.Run)
+		return
+	}
 	s := p.sessions[h.Proxy]
 	if a := p.door().Hello(proxyName(h.Proxy), len(p.sessions)); !a.In && (s == nil || p.leaving) {
 		p.turned++
@@ -223,6 +227,21 @@
 	p.pump()
 }
 
+// outrun goes on beyond a run of this pilot that a proxy holds, which refuses all older ones: the clock was set back since.
+// One that claims so again and again is turned away, for each time all join anew.
+func (p *Pilot) outrun(w *wire, run uint64) {
+	if run > mostRun || time.Since(p.outran) < p.silent {
+		p.reject(w, fmt.Sprintf("it holds run %d of this pilot, whose run is %d", run, p.run))
+		return
+	}
+	p.log.Warn("a proxy holds a later run of this pilot: the clock was set back; going on beyond it", "run", run)
+	p.outran, p.run = time.Now(), run
+	p.restart("clock")
+}
+
+// mostRun is the latest run that is believed, in the year 2255.
+const mostRun = 9e15
+
 // meetShare is the part of the drains' grace for which a proxy's tables are waited for before it counts as joined: it is told
 // of no drain meanwhile. One that does not send them is laid its tables whole.
 const meetShare = 0.25
