A connection that is to end does so also where its peer reads nothing

Seen: after End, with bytes waiting for a peer that stands half open, the connection, its goroutine and its descriptor stayed for ever; a pilot forgets such a stream before it ends, so that no silence was noticed either. Ruled out: Close, and the bound on what may wait. At fault: stream/stream.go End, which now closes after 5 s at the latest.

--- a/stream/stream.go
+++ b/stream/stream.go
@@ -158,13 +158,18 @@
 	}
 }
 
-// End closes the connection once all that was sent is written.
+// endWithin is how long a peer has to take what was sent before the end.
+const endWithin = 5 * time.Second
+
+// End closes the connection once all that was sent is written, or the peer has not taken it in time.
 func (c *Conn) End() {
 	c.mu.Lock()
 	c.ending = true
 	flushing := c.flushing
 	c.mu.Unlock()
-	if !flushing {
+	if flushing {
+		time.AfterFunc(endWithin, c.Close)
+	} else {
 		c.Close()
 	}
 }
--- /dev/null
+++ b/stream/stream_test.go
@@ -0,0 +1,71 @@
+package stream
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*defaultPoll).Wait"),
+		goleak.IgnoreAnyFunction("vetchdoor/stream.work"))
+}
+
+// told is a handler that says when its connection ended.
+type told chan bool
+
+func (t told) Data(*Conn, []byte) {}
+func (t told) Closed(*Conn)       { close(t) }
+
+// meet returns a connection of a listener and the peer that dialled it.
+func meet(t *testing.T) (*Conn, told, net.Conn) {
+	t.Helper()
+	conns, closed := make(chan *Conn, 1), make(told)
+	l, err := Listen(nil, "127.0.0.1:0", func(c *Conn) Handler { conns <- c; return closed })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	peer, err := net.Dial("tcp", l.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { peer.Close() })
+	return <-conns, closed, peer
+}
+
+func (t told) within(test *testing.T, what string) {
+	test.Helper()
+	select {
+	case <-t:
+	case <-time.After(20 * time.Second):
+		test.Errorf("never ended: %s", what)
+	}
+}
+
+// A connection that is to end does so by a deadline, also where its peer stands half open and reads nothing.
+func TestEndHasADeadline(t *testing.T) {
+	c, closed, _ := meet(t)
+	if err := c.Send(make([]byte, 16<<20)); err != nil {
+		t.Fatal(err)
+	}
+	c.End()
+	closed.within(t, "one whose peer does not read")
+}
+
+// A peer that reads nothing is cut off once too much waits for it.
+func TestSlowPeer(t *testing.T) {
+	c, closed, _ := meet(t)
+	var err error
+	for range 5 {
+		if err = c.Send(make([]byte, 8<<20)); err != nil {
+			break
+		}
+	}
+	if err != ErrSlow || c.Send([]byte("x")) == nil {
+		t.Errorf("%v", err)
+	}
+	closed.within(t, "one whose peer is too slow")
+}
