A list service that stands half open is noticed and dialled again

Seen: a pilot whose connection to the list service stood half open, with no sign of its end, went by its last list for ever. Ruled out: the parser and the redial, which work once the end is told. At fault: roster/client.go Run, which waited for the end alone; a quiet service is now asked for the whole list after 15 s and closed if nothing comes in 15 more.

--- a/roster/client.go
+++ b/roster/client.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"vetchdoor/stream"
@@ -44,11 +45,7 @@
 			c.mu.Unlock()
 			c.Log.Info("list service reached", "address", c.Address, "have", have)
 			_ = conn.Send(askLine(Ask{Watch: true, Have: have}))
-			select {
-			case <-s.ended:
-			case <-ctx.Done():
-				conn.Close()
-			}
+			c.attend(ctx, conn, s)
 			c.mu.Lock()
 			c.conn = nil
 			c.mu.Unlock()
@@ -68,6 +65,36 @@
 	}
 }
 
+// quiet is how long the service may say nothing before it is asked for the whole list, and then until it answers.
+const quiet = 15 * time.Second
+
+// attend waits until a connection ends. One that answers no question any more stands half open and is closed.
+func (c *Client) attend(ctx context.Context, conn *stream.Conn, s *session) {
+	t := time.NewTicker(quiet)
+	defer t.Stop()
+	for asked := false; ; {
+		select {
+		case <-s.ended:
+			return
+		case <-ctx.Done():
+			conn.Close()
+			return
+		case <-t.C:
+			if s.heard.Swap(false) {
+				asked = false
+				continue
+			}
+			if asked {
+				c.Log.Warn("list service does not answer; dialing again", "address", c.Address)
+				conn.Close()
+				return
+			}
+			asked = true
+			_ = conn.Send(askLine(Ask{Fetch: true}))
+		}
+	}
+}
+
 // Fetch asks for the whole list once. Where the service cannot be reached, a failed update answers.
 func (c *Client) Fetch() {
 	c.mu.Lock()
@@ -91,12 +118,14 @@
 	client *Client
 	lines  Lines
 	busy   sync.Mutex
+	heard  atomic.Bool // since attend last looked
 	ended  chan struct{}
 }
 
 func (s *session) Data(conn *stream.Conn, b []byte) {
 	s.busy.Lock()
 	defer s.busy.Unlock()
+	s.heard.Store(true)
 	s.lines.Feed(b)
 	for {
 		line, ok, err := s.lines.Next()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -14,12 +14,18 @@
 	"reflect"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/cloudwego/netpoll"
+
 	"vetchdoor/control"
+	"vetchdoor/lab/link"
 	stand "vetchdoor/lab/roster"
 	"vetchdoor/roster"
+	"vetchdoor/stream"
 )
 
 func entry(id int, mode string) roster.Entry {
@@ -71,6 +77,56 @@
 	t.Fatalf("the list is %s, want %s; told %v", got, want, f.told)
 }
 
+// A service that took the client and then says nothing, not even to a question, stands half open: it is dialled again. One
+// that only has no news is not.
+func TestHalfOpen(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			net, dials := link.NewMemory(nil), atomic.Int64{}
+			if answers {
+				s, err := stand.StartOver(net, "list:80", []roster.Entry{entry(1, "ready")})
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer s.Close()
+			} else {
+				l, err := stream.Listen(net, "list:80", func(*stream.Conn) stream.Handler { return mute{} })
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer l.Close()
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			c := &roster.Client{Address: "list:80", Log: slog.New(slog.DiscardHandler), Rand: rand.New(rand.NewPCG(1, 1)),
+				Net: dialled{net, &dials}, Take: func(*roster.Update) {}}
+			done := make(chan struct{})
+			go func() { c.Run(ctx); close(done) }()
+			time.Sleep(10 * time.Minute)
+			if n := dials.Load(); (n > 1) == answers {
+				t.Errorf("answers %t: dialled %d times", answers, n)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
+
+type mute struct{}
+
+func (mute) Data(*stream.Conn, []byte) {}
+func (mute) Closed(*stream.Conn)       {}
+
+// dialled counts dials.
+type dialled struct {
+	stream.Net
+	n *atomic.Int64
+}
+
+func (d dialled) Dial(network, address string, timeout time.Duration) (netpoll.Connection, error) {
+	d.n.Add(1)
+	return d.Net.Dial(network, address, timeout)
+}
+
 // A client follows changes, through a break of the service, and gets the whole list after a gap.
 func TestFollow(t *testing.T) {
 	s, err := stand.Start("127.0.0.1:0", []roster.Entry{entry(1, "ready"), entry(2, "ready")})
