A pilot goes on learning the tables that proxies hold once it has learned 256

Seen: after 256 tables a pilot learned no more, so each proxy that joined with another waited for a quarter of the drains' grace and was laid its table whole. Ruled out: the digests. At fault: pilot/book.go learn, which refused past its bound; it begins anew there. Figures: table 256 unknown for ever before; all of 513 known as they come, 256 kept at most.

--- a/pilot/book.go
+++ b/pilot/book.go
@@ -259,11 +259,15 @@
 // mostContents bounds the tables of earlier runs that are kept.
 const mostContents = 256
 
-// learn takes in a table that a proxy holds.
+// learn takes in a table that a proxy holds; past the bound it begins anew, for what proxies hold changes with the fleet.
 func (b *book) learn(t *runtime.Holding) {
-	if len(b.contents) < mostContents && runtime.Digest(t.Lines) == t.Digest {
-		b.contents[t.Digest] = t.Lines
+	if runtime.Digest(t.Lines) != t.Digest {
+		return
 	}
+	if len(b.contents) >= mostContents {
+		clear(b.contents)
+	}
+	b.contents[t.Digest] = t.Lines
 }
 
 // unknown returns the digests of a proxy's tables whose lines are not known.
--- a/pilot/reconcile_test.go
+++ b/pilot/reconcile_test.go
@@ -134,3 +134,19 @@
 		t.Errorf("%v", d)
 	}
 }
+
+// A pilot that has learned all the tables that it keeps still learns the next one: else, after a week of changes, no proxy
+// would be let on from what it holds, and each would wait for nothing before it counts as joined.
+func TestLearnsOn(t *testing.T) {
+	b := newBook(1, 3, at)
+	for i := range 2*mostContents + 1 {
+		lines := []runtime.Line{{Endpoint: control.EndpointID(i), Weight: 1}}
+		d := runtime.Digest(lines)
+		if b.learn(&runtime.Holding{Digest: d, Lines: lines}); len(b.unknown([]uint64{d})) > 0 {
+			t.Fatalf("table %d was not learned", i)
+		}
+	}
+	if len(b.contents) > mostContents {
+		t.Errorf("%d are kept", len(b.contents))
+	}
+}
