The wire refuses a rate that a proxy's file may not hold either

Seen: a hello with rate 1e300 was taken and reached the module, where two of them add up to no number. Ruled out: NaN and infinity, which the wire refuses, and the file, whose schema stops at 1e9. At fault: runtime/block.go hello, which asked only that it be not below 0.

--- a/runtime/block.go
+++ b/runtime/block.go
@@ -285,8 +285,8 @@
 	w.expect("zone")
 	h.Zone = int(w.uint("zone", 255))
 	w.expect("rate")
-	if h.Rate = w.float("rate"); h.Rate < 0 {
-		w.fail("rate %v is below 0", h.Rate)
+	if h.Rate = w.float("rate"); !(h.Rate >= 0 && h.Rate <= mostRate) {
+		w.fail("rate %v is not between 0 and %v", h.Rate, mostRate)
 	}
 	w.expect("holds")
 	h.Pilot, h.Run, h.Number = w.take(), w.uint("run", math.MaxUint64), w.uint("number", math.MaxUint64)
@@ -317,6 +317,9 @@
 	return h
 }
 
+// mostRate bounds the ops a second that a proxy may say it usually gets, as its file does.
+const mostRate = 1e9
+
 // mostCount bounds what a proxy may claim of one period.
 const mostCount = 100_000_000
 
--- a/runtime/runtime_test.go
+++ b/runtime/runtime_test.go
@@ -169,7 +169,7 @@
 		t.Fatalf("%+v", got)
 	}
 	for _, bad := range []string{"hello 70000 token x zone 0 rate 1 holds - 0 0 window 1 standing -", "hello 1", "sums x", "sums 1000\nserver 1 2",
-		"sums 1000\ntype 0 -1 0", "sums 1000\nserver 1 2 3 4 NaN", "bye", "in-force 1 2 maybe", "in-force 1 2\nmore"} {
+		"sums 1000\ntype 0 -1 0", "hello 1 token t zone 0 rate 1e300 holds - 0 0 window 1 standing -", "sums 1000\nserver 1 2 3 4 NaN", "bye", "in-force 1 2 maybe", "in-force 1 2\nmore"} {
 		if b, err := ParseBlock(strings.Split(bad, "\n")); err == nil {
 			t.Errorf("%q was taken: %+v", bad, b)
 		}
