Links that end at the worst moment are played on links in memory

Need: a proxy's stream half open, idle for long, cut in the midst of a line, between apply and confirm, in a join, a drain or an end was tested in one place or none.

--- /dev/null
+++ b/lab/links_test.go
@@ -0,0 +1,133 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"vetchdoor/lab/link"
+)
+
+// A link between a proxy and its pilot that ends at the worst moment: whatever happens to it, all proxies are joined by a
+// deadline, the rules are kept, no effect comes twice, and when all has ended no goroutine is left (the bubble would say so).
+func TestLinks(t *testing.T) {
+	const deadline = 12 * time.Second // silence noticed on both sides, and a round of dials
+	for name, play := range map[string]func(f *tiny){
+		"half open": func(f *tiny) {
+			f.road(0).Cut(true)
+			time.Sleep(deadline)
+			if !f.joined() {
+				f.t.Error("the proxy is not with the other pilot")
+			}
+			f.road(0).Cut(false)
+		},
+		"half open to both pilots, and a drain": func(f *tiny) {
+			for _, r := range f.roads[0] {
+				r.Cut(true)
+			}
+			time.Sleep(time.Second)
+			happenings["drain"](f)
+			time.Sleep(20 * time.Second)
+			for _, r := range f.roads[0] {
+				r.Cut(false)
+			}
+		},
+		"one direction lost": func(f *tiny) {
+			f.road(0).Lose(link.Up)
+			f.road(1).Lose(link.Up)
+		},
+		"idle for long": func(f *tiny) {
+			time.Sleep(20 * time.Minute)
+			if n := len(f.streams()); n != 5 { // one was sent on at the start, before its pilot had a list, and came home later
+				f.t.Errorf("%d streams in twenty quiet minutes: %v", n, f.streams())
+			}
+		},
+		"between apply and confirm": func(f *tiny) {
+			for i := range 6 {
+				f.list.Set(f.entry(0, "ready", float64(2+i)))
+				f.road(0).BreakWithin(link.Up, 1+i)
+				time.Sleep(1500 * time.Millisecond)
+			}
+		},
+		"in the midst of a line down": func(f *tiny) {
+			for i := range 30 {
+				f.road(i % 3).BreakWithin(link.Down, 1+7*i)
+				f.list.Set(f.entry(i%4, "ready", float64(1+i%5)))
+				time.Sleep(700 * time.Millisecond)
+			}
+		},
+		"in the midst of a block up": func(f *tiny) {
+			for i := range 30 {
+				f.road(i % 3).BreakWithin(link.Up, 1+7*i)
+				f.list.Set(f.entry(i%4, "ready", float64(1+i%5)))
+				time.Sleep(700 * time.Millisecond)
+			}
+		},
+		"in a join": func(f *tiny) {
+			for i := range 30 {
+				f.road(0).Break()
+				f.road(0).BreakWithin(link.Direction(i%2), 1+5*i)
+				time.Sleep(600 * time.Millisecond)
+			}
+		},
+		"in a drain": func(f *tiny) {
+			f.road(0).BreakWithin(link.Down, 60)
+			happenings["drain"](f)
+		},
+		"in its pilot's end": func(f *tiny) {
+			f.road(0).Cut(true)
+			begin := time.Now()
+			f.pilots[0].Stop()
+			if took := time.Since(begin); took > deadline {
+				f.t.Errorf("the pilot ended after %v", took)
+			}
+			f.startPilot(0)
+			f.road(0).Cut(false)
+		},
+		"in its own end": func(f *tiny) {
+			f.road(1).Cut(true)
+			begin := time.Now()
+			f.proxies[1].Stop(context.Background())
+			if took := time.Since(begin); took > deadline {
+				f.t.Errorf("the proxy ended after %v", took)
+			}
+			f.startProxy(1)
+			f.road(1).Cut(false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTiny(t, breach{})
+				defer f.close()
+				f.load(time.Minute)
+				time.Sleep(2 * time.Second)
+				play(f)
+				time.Sleep(deadline)
+				if !f.joined() {
+					t.Error("not all are joined by the deadline")
+				}
+				for _, b := range f.check() {
+					t.Errorf("%+v", b)
+				}
+				for _, p := range f.proxies {
+					if s := p.Stat(); !strings.Contains(s, ",UP,") {
+						t.Errorf("a proxy is bare: %s", s)
+					}
+				}
+			})
+		})
+	}
+}
+
+// streams are those of the day so far, by proxy and pilot.
+func (f *tiny) streams() (out []string) {
+	for _, p := range f.tap.All() {
+		if p.Direction == link.Up && strings.HasPrefix(string(p.Data), "hello ") {
+			out = append(out, fmt.Sprint(p.Link, " ", p.Conn))
+		}
+	}
+	return out
+}
