--- a/control/control.go
+++ b/control/control.go
@@ -86,45 +86,32 @@
 	Zone, Zones         int
 	OpTypes             []OpType
 
-	AskForList bool          // the list comes only to those who watch it
-	AskWithin  time.Duration // how stale an unasked list may get
+	AskForList bool // the list comes only to those who watch it
 	Tick       time.Duration
 
-	Slices    int // 0: proxies are bound to tables; else a table is a slice of the keys
-	Exclusive bool
+	Slices int // 0: proxies are bound to tables; else a table is a slice of the keys
 
 	Levels       LevelUnit
-	UsualAgain   Again
-	TryShare     float64 // a try that may be followed waits this share of the target latency
 	OutlierAfter int
 	Bootstrap    int // lines of a standing table, at most
 
-	Proxies            int // of all instances
-	MessageLines       float64
-	LinesPerSecond     float64
-	MostWaiting        float64
-	MessageCap         int // messages to one proxy within MessageCapOver; 0: no cap
-	MessageCapOver     time.Duration
-	PushDelay          time.Duration // mean way of a message once it left the channel
-	PushDelayMost      time.Duration
-	EmptyFor           time.Duration // how long a proxy may lack a line
-	ReportEvery        time.Duration
-	ReportLinesPerS    float64
-	ConnectionsAtLeast float64
-	WriteLife          time.Duration
+	Proxies         int // of all instances
+	MessageLines    float64
+	LinesPerSecond  float64
+	MostWaiting     float64
+	MessageCap      int // messages to one proxy within MessageCapOver; 0: no cap
+	MessageCapOver  time.Duration
+	PushDelayMost   time.Duration // longest way of a message once it left the channel
+	ReportEvery     time.Duration
+	ReportLinesPerS float64
 
 	Measures       []Measure // what a load report holds, in order
-	ReportsOnProbe bool      // load reports come with probes alone
-	Probes, Peers  bool
 	CrossZonePrice float64
 	ListedWeights  bool // the list's weights mean something
 
-	ColdFor        time.Duration
-	ColdShare      float64
-	DrainGrace     time.Duration
-	OverloadFactor float64
-	FallAfter      time.Duration
-	DrainOnly      bool // only endpoints listed as draining bind, not those that are dropped
+	ColdFor    time.Duration
+	ColdShare  float64
+	DrainGrace time.Duration
 }
 
 // Event is something that happened to the instance.
--- a/files/contradictions.go
+++ b/files/contradictions.go
@@ -96,9 +96,6 @@
 	if c.MessageCap > 0 && c.MessageCapOver <= 0 {
 		return fault(at+"/message_cap_over", c.MessageCapOver, "more than 0, for message_cap is given")
 	}
-	if c.PushDelayMost < c.PushDelay {
-		return fault(at+"/push_delay_most", c.PushDelayMost, "at least push_delay, %v", c.PushDelay.Span())
-	}
 	return nil
 }
 
--- a/files/files.go
+++ b/files/files.go
@@ -94,7 +94,6 @@
 	MostWaiting          int      `json:"most_waiting"`
 	MessageCap           int      `json:"message_cap,omitempty"`
 	MessageCapOver       Duration `json:"message_cap_over,omitempty"`
-	PushDelay            Duration `json:"push_delay,omitempty"`
 	PushDelayMost        Duration `json:"push_delay_most,omitempty"`
 	ReportLinesPerSecond float64  `json:"report_lines_per_second"`
 }
@@ -115,7 +114,6 @@
 	Silent    Duration `json:"silent_after,omitempty"` // a stream without a word for so long is broken
 	Resume    Duration `json:"resume_within,omitempty"`
 	Seed      uint64   `json:"seed,omitempty"`
-	Probes    bool     `json:"probes,omitempty"`
 	Tenants   bool     `json:"tenants,omitempty"` // limit tenants that harm others, by what proxies met of them
 	Moves     *Moves   `json:"moves,omitempty"`   // tenants may be moved
 
@@ -323,14 +321,13 @@
 	s, l, c := &p.Service, &p.Limits, &p.Channel
 	f := control.Facts{
 		Instance: p.Instance, Instances: max(1, p.Instances), Zone: s.ZoneIndex(p.Zone), Zones: len(s.Zones),
-		OpTypes: s.Types(), Tick: p.Tick.Span(), Levels: control.LevelShare, UsualAgain: s.Again(), TryShare: s.TryShare,
+		OpTypes: s.Types(), Tick: p.Tick.Span(), Levels: control.LevelShare,
 		OutlierAfter: s.OutlierAfter, Bootstrap: s.Bootstrap, Proxies: p.Proxies, MessageLines: float64(c.MessageLines),
 		LinesPerSecond: c.LinesPerSecond, MostWaiting: float64(c.MostWaiting), MessageCap: c.MessageCap,
-		MessageCapOver: c.MessageCapOver.Span(), PushDelay: c.PushDelay.Span(), PushDelayMost: c.PushDelayMost.Span(),
-		EmptyFor: l.EmptyFor.Span(), ReportEvery: s.ReportEvery.Span(), ReportLinesPerS: c.ReportLinesPerSecond,
-		Probes: p.Probes, Peers: len(p.Peers) > 0, CrossZonePrice: s.CrossZone, ListedWeights: true, ColdFor: l.ColdFor.Span(),
-		ColdShare: l.ColdShare, DrainGrace: l.DrainGrace.Span(), OverloadFactor: l.OverloadFactor,
-		FallAfter: l.FallAfter.Span(),
+		MessageCapOver: c.MessageCapOver.Span(), PushDelayMost: c.PushDelayMost.Span(),
+		ReportEvery: s.ReportEvery.Span(), ReportLinesPerS: c.ReportLinesPerSecond,
+		CrossZonePrice: s.CrossZone, ListedWeights: true, ColdFor: l.ColdFor.Span(),
+		ColdShare: l.ColdShare, DrainGrace: l.DrainGrace.Span(),
 	}
 	for _, m := range s.Measures {
 		f.Measures = append(f.Measures, measures[m])
--- a/lab/links_test.go
+++ b/lab/links_test.go
@@ -54,14 +54,14 @@
 		},
 		"in the midst of a line down": func(f *tiny) {
 			for i := range 30 {
-				f.road(i % 3).BreakWithin(link.Down, 1+7*i)
+				f.road(i%3).BreakWithin(link.Down, 1+7*i)
 				f.list.Set(f.entry(i%4, "ready", float64(1+i%5)))
 				time.Sleep(700 * time.Millisecond)
 			}
 		},
 		"in the midst of a block up": func(f *tiny) {
 			for i := range 30 {
-				f.road(i % 3).BreakWithin(link.Up, 1+7*i)
+				f.road(i%3).BreakWithin(link.Up, 1+7*i)
 				f.list.Set(f.entry(i%4, "ready", float64(1+i%5)))
 				time.Sleep(700 * time.Millisecond)
 			}
--- a/pilot/records.go
+++ b/pilot/records.go
@@ -315,11 +315,3 @@
 		r.write(slog.LevelInfo+2, record.Move, reason, "a move ended", slog.String(record.Tenant, e.Tenant), slog.Int64("held", e.Held.Microseconds()))
 	})
 }
-
-// count is how many records were made in this run; only once it is closed.
-func (r *recorder) count() uint64 {
-	if r == nil {
-		return 0
-	}
-	return r.sequence
-}
--- a/pilot/records_test.go
+++ b/pilot/records_test.go
@@ -227,3 +227,11 @@
 	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
 	b.ReportMetric(float64(p.records.count())/float64(len(took)), "records/beat")
 }
+
+// count is how many records were made in this run; only once it is closed.
+func (r *recorder) count() uint64 {
+	if r == nil {
+		return 0
+	}
+	return r.sequence
+}
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -119,13 +119,6 @@
 	return nil
 }
 
-// Pending is how many bytes wait to be written.
-func (c *Conn) Pending() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.out)
-}
-
 func (c *Conn) flush() {
 	for {
 		c.mu.Lock()
--- a/stream/workers.go
+++ b/stream/workers.go
@@ -18,14 +18,16 @@
 var tasks = make(chan func())
 
 func init() {
-	netpoll.SetLoggerOutput(debug{})
-	netpoll.SetRunner(func(_ context.Context, f func()) {
+	err := netpoll.Configure(netpoll.Config{LoggerOutput: debug{}, Runner: func(_ context.Context, f func()) {
 		select {
 		case tasks <- f:
 		default:
 			go work(f)
 		}
-	})
+	}})
+	if err != nil {
+		panic(err) // only of numbers that are not given
+	}
 }
 
 func work(f func()) {
