A peer found too slow while it takes a part no longer ends the whole program

Seen: with over 32 MiB waiting for a peer, Send drops what waits; the goroutine that was writing a part of it then cut that part off nothing and panicked, which ended the process: one proxy, or one person's session, that reads slowly took a pilot down. Ruled out: netpoll's Write. At fault: stream/stream.go flush.

--- a/stream/stream.go
+++ b/stream/stream.go
@@ -137,7 +137,9 @@
 		// Write, not Writer: netpoll gives its buffers back when a connection closes, and only Write is safe beside that.
 		if _, err := c.nc.Write(part); err == nil {
 			c.mu.Lock()
-			if c.out = c.out[len(part):]; len(c.out) == 0 {
+			if len(c.out) > len(part) { // it is none where the peer was found too slow meanwhile
+				c.out = c.out[len(part):]
+			} else {
 				c.out = nil
 			}
 			c.mu.Unlock()
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -69,3 +70,12 @@
 	}
 	closed.within(t, "one whose peer is too slow")
 }
+
+// A peer that is found too slow while it takes a part after all ends its connection, not the program.
+func TestSlowPeerReads(t *testing.T) {
+	c, closed, peer := meet(t)
+	go func() { _, _ = io.Copy(io.Discard, peer) }()
+	for c.Send(make([]byte, 20<<20)) == nil {
+	}
+	closed.within(t, "one whose peer is too slow")
+}
