Half-open links are judged by who joined whom and by what still comes, not by belief

Seen: with either side's watch for silence switched off, the plays of half-open links still passed: a proxy that had lost its pilot took itself for joined. Change: the proxy must be with the other pilot by the deadline, and one that never confirms must not hold up the others.

--- a/lab/links_test.go
+++ b/lab/links_test.go
@@ -19,11 +19,28 @@
 		"half open": func(f *tiny) {
 			f.road(0).Cut(true)
 			time.Sleep(deadline)
-			if !f.joined() {
-				f.t.Error("the proxy is not with the other pilot")
+			if info := f.proxies[0].Info(); !strings.Contains(info, "\nPilot: pilot-1\n") {
+				f.t.Errorf("the proxy is not with the other pilot: %s", info)
 			}
 			f.road(0).Cut(false)
 		},
+		"half open to both for good, amid changes": func(f *tiny) { // what it does not confirm must not hold up the others
+			for _, r := range f.roads[0] {
+				r.Cut(true)
+			}
+			for i := range 60 {
+				f.list.Set(f.entry(0, "ready", float64(2+i%3)))
+				time.Sleep(time.Second)
+			}
+			f.list.Set(f.entry(0, "ready", 9))
+			time.Sleep(deadline)
+			if s := f.proxies[2].Stat(); !strings.Contains(s, "t0,e0,UP,9,") {
+				f.t.Errorf("changes do not come any more: %s", s)
+			}
+			for _, r := range f.roads[0] {
+				r.Cut(false)
+			}
+		},
 		"half open to both pilots, and a drain": func(f *tiny) {
 			for _, r := range f.roads[0] {
 				r.Cut(true)
