--- a/policy/policy.go
+++ b/policy/policy.go
@@ -407,7 +407,6 @@
 		e.cell.ready++
 		if e.sick && a.now-e.turnAt >= e.sickFor {
 			e.sick, e.turnAt, e.load, e.tries, e.fails = false, a.now, -1, 0, 0
-			e.ease = max(entry, e.ease*easeStep) // a slow one drowns again at its whole weight
 		}
 		if e.sick {
 			e.cell.sick++
