--- a/pilot/book_test.go
+++ b/pilot/book_test.go
@@ -69,6 +69,13 @@
 		"add server t0/e5 127.0.0.1:8005 weight 3 zone 1 pack 0; add server t0/e9 127.0.0.1:8009 weight 1 zone 1 pack 0; set map op-types 1 t0; "+
 		"set server */e50 state drain; set level * 0 0.5 again if-unrun\np2 #47 4; set server */e50 state drain",
 		control.Bind{Table: 0, Proxy: 1, OpTypes: 2}, control.Suspend{Endpoint: 50, Out: true})
+	b.write([]control.Order{control.Suspend{Endpoint: 30, Out: true}})
+	b.leave(2)
+	b.join(2, nil, false, 47)
+	b.write([]control.Order{control.Bind{Table: 0, Proxy: 2}})
+	step("a withdrawn one enters a table: who was not told hears of that first", "p1 #9 4; add server t0/e30 127.0.0.1:8030 weight 1 zone 0 pack 0\n"+
+		"p2 #49 5; set server */e30 state drain; add server t0/e30 127.0.0.1:8030 weight 1 zone 0 pack 0",
+		control.PutLine{Table: 0, Endpoint: 30, Weight: 1})
 }
 
 // The channel keeps its pace and its bound, and one that is slow holds up only itself.
