Out of descriptors a listener waits instead of asking again without end

Seen: an accept that failed for want of descriptors reached netpoll wrapped, so that it did not know it for that and its poller, which serves all connections, asked again at once. Ruled out: netpoll's own listener, which hands the number on as it is. At fault: stream/listener.go Accept.

--- a/stream/listener.go
+++ b/stream/listener.go
@@ -67,7 +67,7 @@
 	case errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED):
 		return nil, nil
 	case err != nil:
-		return nil, os.NewSyscallError("accept4", err)
+		return nil, err // as it is: netpoll knows by its type that descriptors ran out, and waits
 	}
 	a := &accepted{fd: fd, local: l.ln.Addr()}
 	switch sa := sa.(type) {
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -3,9 +3,12 @@
 import (
 	"io"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cloudwego/netpoll"
 	"go.uber.org/goleak"
 )
 
@@ -79,3 +82,46 @@
 	}
 	closed.within(t, "one whose peer is too slow")
 }
+
+// Out of descriptors, Accept says so by the bare number that netpoll knows, which then waits; of any other error it knows
+// nothing and asks again at once, without end.
+func TestOutOfDescriptors(t *testing.T) {
+	l, err := NewListener("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	var was syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &was); err != nil {
+		t.Fatal(err)
+	}
+	least := was
+	least.Cur = 64
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &least); err != nil {
+		t.Fatal(err)
+	}
+	var held []*os.File
+	for f, err := os.Open(os.DevNull); err == nil; f, err = os.Open(os.DevNull) {
+		held = append(held, f)
+	}
+	_, full := l.Accept()
+	for _, f := range held {
+		f.Close()
+	}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &was); err != nil {
+		t.Fatal(err)
+	}
+	if no, ok := full.(syscall.Errno); !ok || no != syscall.EMFILE {
+		t.Errorf("%T %v", full, full)
+	}
+	c, err := l.Accept()
+	if err != nil || c == nil {
+		t.Fatalf("%v %v", c, err)
+	}
+	_ = syscall.Close(c.(netpoll.Conn).Fd())
+}
