A server taken out by hand takes back none of the pilot's messages

Seen: set server on a proxy's socket read the number, run and pilot in force, and wrote them back after a message of the pilot had come between: the number fell, and across a change of run the tables lost their names. Ruled out: the tables, which are made anew whole under the lock. At fault: proxy/admin.go setServer, which read outside that lock.

--- a/proxy/admin.go
+++ b/proxy/admin.go
@@ -174,6 +174,8 @@
 	if change.Verb != runtime.SetState {
 		return fmt.Errorf("weights are the pilot's; only %s", strings.TrimSpace("set server */eN state drain|ready"))
 	}
+	p.mu.Lock() // no message of the pilot's between what is read and what is written
+	defer p.mu.Unlock()
 	t := p.now.Load()
-	return p.apply(&runtime.Message{Pilot: t.pilot, Run: t.run, Number: t.number, Changes: []runtime.Change{change}})
+	return p.bring(&runtime.Message{Pilot: t.pilot, Run: t.run, Number: t.number, Changes: []runtime.Change{change}})
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -499,6 +499,11 @@
 func (p *Proxy) apply(m *runtime.Message) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.bring(m)
+}
+
+// bring does so; p.mu is held.
+func (p *Proxy) bring(m *runtime.Message) error {
 	n, err := p.now.Load().apply(m, &p.servers, len(p.types), p.rng)
 	if err != nil {
 		return err
