A proxy's file may not call its pilot silent before that speaks

Seen: pilots ping once a second, and a proxy whose silent_after was under that lost its stream again and again, as the fleet's own tests did unnoticed at 400 ms. Ruled out: the ping, which a pilot's own silent_after only makes more frequent. At fault: files/contradictions.go, which let any span through; 2 s is the least now. Figures: 900ms taken before, refused in a line now.

--- a/files/contradictions.go
+++ b/files/contradictions.go
@@ -161,6 +161,9 @@
 	)
 }
 
+// leastSilence is how long a proxy must bear from its pilot, which pings each second.
+const leastSilence = 2 * time.Second
+
 func (p *Proxy) contradictions() *Fault {
 	if f := first(
 		func() *Fault { return logsContradict(p.Log) },
@@ -168,6 +171,9 @@
 		func() *Fault { return p.Service.zone("/zone", p.Zone) }); f != nil {
 		return f
 	}
+	if s := p.Silent; s > 0 && s.Span() < leastSilence {
+		return fault("/silent_after", s, "%v or more, for a pilot speaks once a second", leastSilence)
+	}
 	for i, at := range p.Pilots {
 		if f := p.Service.zone(fmt.Sprintf("/pilots/%d/zone", i), at.Zone); f != nil {
 			return f
--- a/files/contradictions_test.go
+++ b/files/contradictions_test.go
@@ -46,6 +46,7 @@
 		{"proxy", proxyText, `:80", "zone": "a"`, `:80", "zone": "c"`, "/servers/0/zone"},
 		{"proxy", proxyText, `"127.0.0.1:80"`, `"localhost:80"`, "/servers/0/address"},
 		{"proxy", proxyText, `"endpoint": 2`, `"endpoint": 1`, "/servers/1/endpoint"},
+		{"proxy", proxyText, `"rate": 10`, `"rate": 10, "silent_after": "900ms"`, "/silent_after"},
 		{"roster", rosterText, `:80", "zone": "a"`, `:80", "zone": "c"`, "/entries/0/zone"},
 		{"roster", rosterText, `"127.0.0.1:81"`, `"here:81"`, "/entries/1/address"},
 		{"roster", rosterText, `"endpoint": 2`, `"endpoint": 1`, "/entries/1/endpoint"},
