Idle sessions of people end after ten minutes

Seen: 64 connections to a pilot's or proxy's socket for people that say nothing kept everybody else out for as long as they stood. Ruled out: the bound itself, which is meant. At fault: session/session.go Listen, which gave them no deadline.

--- a/session/session.go
+++ b/session/session.go
@@ -31,8 +31,11 @@
 	commands []Command
 }
 
-// most sessions at a time
-const mostSessions = 64
+// most sessions at a time, and how long one may say nothing
+const (
+	mostSessions = 64
+	mostIdle     = 10 * time.Minute
+)
 
 // Listen serves commands at an address: unix:PATH, or HOST:PORT on a loopback address.
 func Listen(address, banner string, commands []Command) (*Listener, error) {
@@ -41,19 +44,24 @@
 			return nil, fmt.Errorf("listen on %s: people are served on a Unix socket or a loopback address only", address)
 		}
 	}
+	return listen(nil, address, banner, commands)
+}
+
+// listen does so over a net; nil: sockets.
+func listen(over stream.Net, address, banner string, commands []Command) (*Listener, error) {
 	l := &Listener{banner: banner, commands: slices.Clone(commands)}
 	slices.SortFunc(l.commands, func(a, b Command) int { return strings.Compare(a.Words, b.Words) })
 	var mu sync.Mutex
 	open := 0
 	var err error
-	l.ln, err = stream.Listen(nil, address, func(c *stream.Conn) stream.Handler {
+	l.ln, err = stream.Listen(over, address, func(c *stream.Conn) stream.Handler {
 		mu.Lock()
 		defer mu.Unlock()
 		if open >= mostSessions {
 			return nil
 		}
 		open++
-		return &conversation{l: l, scan: runtime.NewScanner(runtime.People), closed: func() {
+		return &conversation{l: l, scan: runtime.NewScanner(runtime.People), idle: time.AfterFunc(mostIdle, c.Close), closed: func() {
 			mu.Lock()
 			open--
 			mu.Unlock()
@@ -74,15 +82,20 @@
 	scan        *runtime.Scanner
 	interactive bool
 	done        bool
+	idle        *time.Timer // closes it
 	closed      func()
 }
 
-func (s *conversation) Closed(*stream.Conn) { s.closed() }
+func (s *conversation) Closed(*stream.Conn) {
+	s.idle.Stop()
+	s.closed()
+}
 
 func (s *conversation) Data(c *stream.Conn, b []byte) {
 	if s.done {
 		return
 	}
+	s.idle.Reset(mostIdle)
 	s.scan.Feed(b)
 	for !s.done {
 		line, ok, err := s.scan.Next()
