A test that proxies which lose a pilot together dial at moments of their own

Seen: with the jitter of redials switched off every test passed. Change: 400 proxies that lose a pilot at once may not dial more than a fifth within a tenth of the span. Result: fails without the jitter, all 400 at one moment; passes with it.

--- a/fleet/choice_test.go
+++ b/fleet/choice_test.go
@@ -201,3 +201,24 @@
 		t.Error("no time left, and some stay")
 	}
 }
+
+// Proxies that lose a pilot at one moment come back at moments of their own: none of ten equal parts of the span in which
+// they dial sees more than a fifth of them.
+func TestDialsSpread(t *testing.T) {
+	var waits []time.Duration
+	for p := range 400 {
+		c := choice(p)
+		a, _ := c.Dial()
+		c.Up(0, a)
+		waits = append(waits, c.Down(time.Hour, ""))
+	}
+	slices.Sort(waits)
+	first, last := waits[0], waits[len(waits)-1]
+	parts := [10]int{}
+	for _, w := range waits {
+		parts[min(9, int(10*(w-first)/max(last-first, 1)))]++
+	}
+	if most := slices.Max(parts[:]); last < 2*first || most > len(waits)/5 {
+		t.Errorf("dials from %v to %v, %d of %d in one tenth", first, last, most, len(waits))
+	}
+}
