Endpoints that move their address take one message of the cap, not as many as they move

Ruled out: the module, which spaces its own. At fault: pilot/list.go listed; what moves within the cap's span goes out as one message, and files.Facts tells the module of a cap one lower. A cap of 1 is refused in a file.

--- a/files/contradictions.go
+++ b/files/contradictions.go
@@ -93,6 +93,9 @@
 		return fault(at+"/lines_per_second", c.LinesPerSecond, "%.0f or more: a line to each proxy within drain_grace, %v",
 			float64(least)/l.DrainGrace.Span().Seconds(), l.DrainGrace.Span())
 	}
+	if c.MessageCap == 1 {
+		return fault(at+"/message_cap", c.MessageCap, "2 or more, for one is the pilot's own; or 0")
+	}
 	if c.MessageCap > 0 && c.MessageCapOver <= 0 {
 		return fault(at+"/message_cap_over", c.MessageCapOver, "more than 0, for message_cap is given")
 	}
--- a/files/contradictions_test.go
+++ b/files/contradictions_test.go
@@ -32,6 +32,7 @@
 		{"pilot", pilotText, `"drain_grace": "2s"`, `"drain_grace": "0s"`, "/limits/drain_grace"},
 		{"pilot", pilotText, `"fall_after": "2s"`, `"fall_after": "0s"`, "/limits/fall_after"},
 		{"pilot", pilotText, `"most_waiting": 9000`, `"most_waiting": 9000, "message_cap": 5`, "/channel/message_cap_over"},
+		{"pilot", pilotText, `"most_waiting": 9000`, `"most_waiting": 9000, "message_cap": 1, "message_cap_over": "10s"`, "/channel/message_cap"},
 		{"pilot", pilotText, `"name": "p"`, `"name": "p", "instance": 3, "instances": 2`, "/instance"},
 		{"pilot", pilotText, `"retryable"}]},`, `"once-only", "writes": true}]}, "moves": {"store": "s", "most": "1s"},`, "/moves/most"},
 		{"pilot", pilotText, `"report_lines_per_second": 300}`, `"report_lines_per_second": 300, "message_cap": 5, "message_cap_over": "10s"}, "tenants": true`,
--- a/files/files.go
+++ b/files/files.go
@@ -323,7 +323,8 @@
 		Instance: p.Instance, Instances: max(1, p.Instances), Zone: s.ZoneIndex(p.Zone), Zones: len(s.Zones),
 		OpTypes: s.Types(), Tick: p.Tick.Span(), Levels: control.LevelShare,
 		OutlierAfter: s.OutlierAfter, Bootstrap: s.Bootstrap, Proxies: p.Proxies, MessageLines: float64(c.MessageLines),
-		LinesPerSecond: c.LinesPerSecond, MostWaiting: float64(c.MostWaiting), MessageCap: c.MessageCap,
+		LinesPerSecond: c.LinesPerSecond, MostWaiting: float64(c.MostWaiting),
+		MessageCap:     max(0, c.MessageCap-1), // one is the pilot's own
 		MessageCapOver: c.MessageCapOver.Span(), PushDelayMost: c.PushDelayMost.Span(),
 		ReportEvery: s.ReportEvery.Span(), ReportLinesPerS: c.ReportLinesPerSecond,
 		CrossZonePrice: s.CrossZone, ListedWeights: true, ColdFor: l.ColdFor.Span(),
--- a/lab/links_test.go
+++ b/lab/links_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -148,3 +149,29 @@
 	}
 	return out
 }
+
+// An endpoint that moves its address again and again takes no more messages than the cap allows, and proxies come to where
+// it is.
+func TestMovesOfAddressesKeepTheCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTiny(t, breach{})
+		defer f.close()
+		f.load(time.Minute)
+		time.Sleep(2 * time.Second)
+		for i := range 61 {
+			e := f.entry(0, "ready", 1)
+			if i%2 == 0 {
+				e.Address = netip.MustParseAddrPort("10.0.0.9:80")
+			}
+			f.list.Set(e)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(f.day.Channel.MessageCapOver.Span())
+		for _, b := range f.check() {
+			t.Errorf("%+v", b)
+		}
+		if s := f.proxies[0].Stat(); !strings.Contains(s, ",10.0.0.9:80,") {
+			t.Errorf("the proxy does not know where it is: %s", s)
+		}
+	})
+}
--- a/pilot/book.go
+++ b/pilot/book.go
@@ -354,16 +354,18 @@
 	}
 }
 
-// moved writes an endpoint's new place to all who hold it in a table.
-func (b *book) moved(e control.EndpointID) (messages []outgoing) {
-	at, ok := b.where(e)
-	if !ok {
-		return nil
-	}
+// moved writes endpoints' new places to all who hold them in a table, one message each.
+func (b *book) moved(endpoints []control.EndpointID) (messages []outgoing) {
 	joined := b.sorted()
-	for _, id := range slices.Sorted(maps.Keys(b.tables)) {
-		if t := b.tables[id]; t.lines[e] > 0 {
-			b.toUsers(t, joined, runtime.Change{Verb: runtime.AddServer, Table: id, Endpoint: e, Server: at, Weight: t.lines[e]})
+	for _, e := range endpoints {
+		at, ok := b.where(e)
+		if !ok {
+			continue
+		}
+		for _, id := range slices.Sorted(maps.Keys(b.tables)) {
+			if t := b.tables[id]; t.lines[e] > 0 {
+				b.toUsers(t, joined, runtime.Change{Verb: runtime.AddServer, Table: id, Endpoint: e, Server: at, Weight: t.lines[e]})
+			}
 		}
 	}
 	for _, h := range joined {
--- a/pilot/list.go
+++ b/pilot/list.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -56,17 +57,39 @@
 	if p.given = p.given || len(known) > 0; p.given {
 		p.event(control.Listing{Kind: kind, Entries: p.entries(known)})
 	}
-	for _, id := range moved {
-		p.queue(p.now(), p.book.moved(id))
-	}
 	if len(moved) > 0 {
-		p.pump()
+		p.readdress(moved)
 	}
 	if p.saver != nil {
 		p.saver.save(p.version, p.sortedList())
 	}
 }
 
+// readdress has proxies told of endpoints that moved. Where messages are capped that is at most one of the pilot's own within
+// the cap's span, for which files.Facts leaves room beside the module's; what moves meanwhile waits.
+func (p *Pilot) readdress(moved []control.EndpointID) {
+	for _, id := range moved {
+		p.moving[id] = true
+	}
+	wait := p.facts.MessageCapOver - time.Since(p.readdressed)
+	if p.facts.MessageCap > 0 && wait > 0 {
+		if !p.waits {
+			p.waits = true
+			time.AfterFunc(wait, func() {
+				p.post(func() {
+					p.waits = false
+					p.readdress(nil)
+				})
+			})
+		}
+		return
+	}
+	p.readdressed = time.Now()
+	p.queue(p.now(), p.book.moved(slices.Sorted(maps.Keys(p.moving))))
+	clear(p.moving)
+	p.pump()
+}
+
 // sortedList is the list as known, by endpoint.
 func (p *Pilot) sortedList() []roster.Entry {
 	out := make([]roster.Entry, 0, len(p.list))
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -98,6 +98,9 @@
 	wires        map[*wire]bool
 	numbers      map[control.ProxyID]uint64 // last message of this run, of proxies that left
 	list         map[control.EndpointID]roster.Entry
+	moving       map[control.EndpointID]bool // whose new place proxies are yet to be told
+	readdressed  time.Time                   // when they were last told of such
+	waits        bool                        // they are to be, later
 	version      uint64
 	source       *roster.Client
 	saver        *saver
@@ -118,7 +121,7 @@
 	p := &Pilot{file: file, log: log.With("pilot", file.Name), facts: file.Facts(), born: time.Now(), seed: file.Seed,
 		inbox: make(chan func(), 1024), stop: make(chan struct{}), stopped: make(chan struct{}),
 		newDecider: func() decider { return &policy.Assigner{} },
-		list:       map[control.EndpointID]roster.Entry{}, wires: map[*wire]bool{},
+		list:       map[control.EndpointID]roster.Entry{}, wires: map[*wire]bool{}, moving: map[control.EndpointID]bool{},
 		silent: file.Silent.Span(), resumeWithin: file.Resume.Span(), probes: &upstream.Pool{}}
 	if p.seed == 0 {
 		p.seed = rand.Uint64()
