A pilot that ends tells its proxies where to go before it closes their streams

Seen: the word to go to another pilot was given to a connection that was closed in the same breath, so that it never left; proxies found their stream broken and dialled the ending pilot first, to be refused by it. Ruled out: the choice of whom to send when, and the proxies, which follow the word. At fault: pilot/pilot.go sendSome, which now ends the stream once the word is written.

--- a/lab/links_test.go
+++ b/lab/links_test.go
@@ -175,3 +175,26 @@
 		}
 	})
 }
+
+// Proxies of a pilot that ends hear from it where to go before their streams close.
+func TestLeaveIsHeard(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTiny(t, breach{})
+			defer f.close()
+			f.load(time.Minute)
+			time.Sleep(2 * time.Second)
+			f.pilots[0].Stop()
+			heard := 0
+			for _, p := range f.tap.All() {
+				if p.Direction == link.Down && strings.HasPrefix(string(p.Data), "away ") {
+					heard++
+				}
+			}
+			if heard != 3 { // one of them was sent on to it at the start
+				t.Errorf("%d of 3 were told", heard)
+			}
+			f.startPilot(0)
+		})
+	}
+}
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -259,7 +259,9 @@
 	}
 	door := p.door()
 	for _, s := range here[:fleet.Leave(len(here), left, all, leaveStep)] {
-		_ = s.conn.conn.Send(runtime.GoAway{Joined: true, Try: door.Hello(proxyName(s.id), 0).Hint}.Append(nil))
+		w := s.conn
+		s.conn = nil // dropped, its stream would close before the word is out
+		p.sendAway(w, runtime.GoAway{Joined: true, Try: door.Hello(proxyName(s.id), 0).Hint})
 		p.drop(s)
 	}
 	return len(here) == 0
