A proxy that ends waits until its last sums are written

Seen: the last sums were given to a stream that was cancelled at once and never left, so that the pilot did not learn what a proxy met before its end. Ruled out: Conn.End, which writes what waits. At fault: proxy/orders.go end, which returned before it had; it waits for the stream's end, a second at most.

--- a/lab/links_test.go
+++ b/lab/links_test.go
@@ -198,3 +198,26 @@
 		})
 	}
 }
+
+// A proxy that ends sends its last sums before its stream closes.
+func TestLastSums(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTiny(t, breach{})
+			defer f.close()
+			f.load(time.Minute)
+			time.Sleep(2250 * time.Millisecond)
+			begin := time.Since(f.ledger.From())
+			f.proxies[2].Stop(context.Background())
+			time.Sleep(100 * time.Millisecond)
+			heard := false
+			for _, p := range f.tap.All() {
+				heard = heard || p.Direction == link.Up && p.Came >= begin && strings.HasPrefix(p.Link, "stream 2 ") && strings.HasPrefix(string(p.Data), "sums ")
+			}
+			if !heard {
+				t.Error("its last sums are lost")
+			}
+			f.startProxy(2)
+		})
+	}
+}
--- a/proxy/orders.go
+++ b/proxy/orders.go
@@ -212,13 +212,20 @@
 	}
 }
 
-// end closes the stream once what was sent is written.
+// endWithin is how long a pilot has to take the last sums.
+const endWithin = time.Second
+
+// end closes the stream once what was sent is written, and returns when it has ended or its pilot takes nothing.
 func (o *orders) end() {
 	o.mu.Lock()
 	l := o.up
 	o.mu.Unlock()
 	if l != nil {
 		l.conn.End()
+		select {
+		case <-l.closed:
+		case <-time.After(endWithin):
+		}
 	}
 }
 
