What cannot be read is answered before its stream ends, on both ends of the wire

Seen: a proxy or a pilot that got what it cannot read closed the stream at once; a pilot answered nothing, a proxy gave its answer to a connection that was closed in the same breath, so that the other side's log never told why. Ruled out: the parsers, whose errors name the fault. At fault: Data in pilot/streams.go and proxy/orders.go; both now end the stream once the answer is written and take nothing more of it.

--- a/pilot/list_test.go
+++ b/pilot/list_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -77,13 +78,12 @@
 		if _, err := c.Write([]byte(bad)); err != nil && len(bad) < 1000 {
 			t.Fatal(err)
 		}
-		for {
-			if _, err := in.ReadByte(); err != nil {
-				if strings.Contains(err.Error(), "timeout") {
-					t.Errorf("%.60q was borne", bad)
-				}
-				break
-			}
+		said, err := io.ReadAll(in)
+		if err != nil && strings.Contains(err.Error(), "timeout") {
+			t.Errorf("%.60q was borne", bad)
+		}
+		if !strings.HasPrefix(string(said), "refused ") && len(bad) < 1000 {
+			t.Errorf("%.60q was answered %q", bad, said)
 		}
 		c.Close()
 	}
--- a/pilot/streams.go
+++ b/pilot/streams.go
@@ -37,6 +37,7 @@
 	p      *Pilot
 	conn   *stream.Conn
 	blocks *runtime.Blocks
+	bad    bool // it sent what cannot be read: nothing more is; its reader's
 	id     control.ProxyID
 	known  bool // it has said hello and was welcomed; set by the loop
 	opened time.Time
@@ -56,6 +57,9 @@
 
 // Data parses what came and has the loop take it.
 func (w *wire) Data(c *stream.Conn, b []byte) {
+	if w.bad {
+		return
+	}
 	w.blocks.Feed(b)
 	for {
 		lines, ok, err := w.blocks.Next()
@@ -68,7 +72,9 @@
 		}
 		if err != nil {
 			w.p.log.Warn("a proxy sent what cannot be read; its stream is closed", "remote", c.Remote(), "error", err)
-			c.Close()
+			w.bad = true
+			_ = c.Send(runtime.GoAway{Why: err.Error()}.Append(nil))
+			c.End()
 			return
 		}
 		if !w.p.post(func() { w.p.take(w, block) }) {
--- a/proxy/orders.go
+++ b/proxy/orders.go
@@ -33,6 +33,7 @@
 	o       *orders
 	conn    *stream.Conn
 	scan    *runtime.Scanner
+	bad     bool // its pilot sent what cannot be taken: nothing more is
 	pilot   runtime.Welcome
 	greeted bool
 	greets  chan struct{}         // closed with the welcome
@@ -234,8 +235,11 @@
 	l.mu.Lock()
 	l.last = time.Now()
 	l.mu.Unlock()
+	if l.bad {
+		return
+	}
 	l.scan.Feed(b)
-	for {
+	for !l.bad {
 		line, ok, err := l.scan.Next()
 		if err == nil && !ok {
 			return
@@ -245,8 +249,9 @@
 		}
 		if err != nil {
 			l.o.log.Warn("pilot sent what cannot be taken; the stream is closed", "error", err)
-			c.Close()
-			return
+			l.bad = true
+			_ = c.Send(runtime.Refused{Reason: err.Error()}.Append(nil))
+			c.End()
 		}
 	}
 }
@@ -310,7 +315,6 @@
 		}
 		m, err := runtime.ParseMessage(cmd)
 		if err != nil {
-			_ = c.Send(runtime.Refused{Reason: err.Error()}.Append(nil))
 			return err
 		}
 		l.mu.Lock()
