Sums of servers that nobody lists are not kept

Seen: one proxy that reported 50,000 servers of its own making held up the sums of all others, which go to the module oldest first at so many lines a second, and they were kept without bound. Ruled out: the wire, which bounds a block, and the module, which passes them over. At fault: pilot/intake.go add; servers not on the list and op types that there are not are left out.

--- a/pilot/intake.go
+++ b/pilot/intake.go
@@ -15,6 +15,8 @@
 	perSecond float64
 	room      float64
 	measures  int
+	known     func(control.EndpointID) bool // whose sums are kept; nil: all
+	types     int                           // op types that there are; 0: any number
 	digests   map[digestKey]*gathered
 	arrivals  map[arrivalKey]*gathered
 }
@@ -45,10 +47,16 @@
 // add takes a proxy's sums in.
 func (in *intake) add(now time.Duration, id control.ProxyID, zone int, s *runtime.Sums) {
 	for _, t := range s.Types {
+		if in.types > 0 && t.OpType >= in.types {
+			continue
+		}
 		g := gather(in.arrivals, arrivalKey{id, t.OpType}, now, s.Window)
 		g.n, g.bad = g.n+t.Ops, g.bad+min(t.Unacked, t.Ops)
 	}
 	for _, e := range s.Servers {
+		if in.known != nil && !in.known(e.Endpoint) {
+			continue
+		}
 		g := gather(in.digests, digestKey{zone, e.Endpoint}, now, s.Window)
 		failed := min(e.Failed, e.Tries)
 		g.n, g.bad = g.n+e.Tries, g.bad+failed
--- a/pilot/list_test.go
+++ b/pilot/list_test.go
@@ -90,3 +90,32 @@
 	r.proxy(1, r.link.Address(), nil)
 	r.until("a good one joins", func() bool { return count[control.Joined](r.module) == 1 })
 }
+
+// What a proxy says that it met at servers that nobody lists is not kept: it would hold up the sums of those that are.
+func TestSumsOfStrangers(t *testing.T) {
+	r := newRig(t)
+	c, in := dial(t, r.p.Address())
+	defer c.Close()
+	var b strings.Builder
+	b.WriteString("hello 1 token t zone 0 rate 1 holds - 0 0 window 100 standing 0\n\nsums 1000\n")
+	for id := range 50000 {
+		fmt.Fprintf(&b, "server %d 5 1 1000\n", id)
+	}
+	b.WriteString("type 0 5 0\ntype 9 5 0\n\n")
+	if _, err := c.Write([]byte(b.String())); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := in.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	most := make(chan int, 1)
+	met := 0
+	r.until("the sums came", func() bool {
+		r.p.post(func() { most <- len(r.p.intake.digests) + len(r.p.intake.arrivals) })
+		met = max(met, <-most)
+		return count[control.Digest](r.module) >= 4 && count[control.Arrivals](r.module) >= 1
+	})
+	if met > 5 {
+		t.Errorf("%d lines waited", met)
+	}
+}
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -382,6 +382,8 @@
 	p.book = newBook(len(p.facts.OpTypes), int(p.facts.MessageLines), p.where)
 	p.channel = newChannel(p.facts.LinesPerSecond, p.facts.MostWaiting)
 	p.intake = newIntake(p.facts.ReportLinesPerS, len(p.facts.Measures))
+	p.intake.types = len(p.facts.OpTypes)
+	p.intake.known = func(id control.EndpointID) bool { _, ok := p.list[id]; return ok }
 	if p.uses, p.loads = nil, map[tenancy.PodID]*[2]float64{}; p.file.Tenants {
 		var kept []tenancy.Sentence
 		if p.warden != nil {
