--- a/roster/wire.go
+++ b/roster/wire.go
@@ -1,5 +1,5 @@
 // Package roster is the node list as a pilot has it: the wire to the list service, a client that follows it through
-// breaks, and the copy on disk that outlives the pilot. The wire is a line of JSON a message; docs/roster.md has it.
+// breaks, and the copy on disk that outlives the pilot. The wire is a line of JSON a message; docs/runtime-api.md has it.
 package roster
 
 import (
