--- a/proxy/orders_test.go
+++ b/proxy/orders_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"log/slog"
 	"net"
 	"strings"
 	"testing"
@@ -19,7 +18,6 @@
 	p.orders.end()
 	l := &link{o: p.orders, scan: runtime.NewScanner(runtime.Orders), queue: make(chan *runtime.Message, 1), closed: make(chan struct{}),
 		greets: make(chan struct{}), last: time.Now()}
-	l.o.log = slog.New(slog.DiscardHandler)
 	l.Closed(nil)
 	l.Data(nil, runtime.Welcome{Pilot: "p", Run: 1, Wire: runtime.Wire}.Append(nil))
 	if p.orders.joined() {
