vetchdoor serves on the operators' platform: a second front of the same pilot

Change: package platform speaks their protocol (wire: the codec; streams by proxy, collectors, discovery's watch, probes, reload), and vetchdoor platform is run. What hosts the module (loop, batch and tick, wakes, guard) is lifted out of pilot into pilot/host and serves both fronts; the start settings are read by package facts for the adapter and the platform alike.

--- a/cmd/vetchdoor/main.go
+++ b/cmd/vetchdoor/main.go
@@ -58,7 +58,7 @@
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.PersistentFlags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
 	root.PersistentFlags().StringVar(&format, "log-format", "text", "text or json")
-	root.AddCommand(pilotCommand(), proxyCommand(), nodeCommand(), rosterCommand(), ctlCommand(), checkCommand(), logCommand(),
+	root.AddCommand(pilotCommand(), platformCommand(), proxyCommand(), nodeCommand(), rosterCommand(), ctlCommand(), checkCommand(), logCommand(),
 		schemaCommand(), labCommand())
 	return root
 }
@@ -81,9 +81,9 @@
 	return nil
 }
 
-// signals returns a channel on which the signals that end a program come.
-func signals() <-chan os.Signal {
-	c := make(chan os.Signal, 2)
-	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
+// signals returns a channel on which the signals that end a program come, and others if wanted.
+func signals(others ...os.Signal) <-chan os.Signal {
+	c := make(chan os.Signal, 4)
+	signal.Notify(c, append(others, syscall.SIGTERM, syscall.SIGINT)...)
 	return c
 }
--- /dev/null
+++ b/cmd/vetchdoor/platform.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"log/slog"
+	"os"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"vetchdoor/platform"
+)
+
+func platformCommand() *cobra.Command {
+	var path string
+	c := &cobra.Command{Use: "platform", Short: "runs a pilot on the operators' platform", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			end := signals(syscall.SIGHUP)
+			g, err := platform.ReadGiven(path)
+			if err != nil {
+				return err
+			}
+			g.Limits.Keep()
+			p := platform.New(g, slog.Default())
+			p.Stuck = func() { os.Exit(exitStuck) }
+			if err := p.Start(); err != nil {
+				return err
+			}
+			for s := range end {
+				if s != syscall.SIGHUP {
+					slog.Info("ends", "signal", s.String())
+					return nil // at once: proxies go elsewhere, and connections end with the process
+				}
+				p.Reload(path)
+			}
+			return nil
+		}}
+	c.Flags().StringVarP(&path, "file", "f", os.Getenv("LB_CONFIG"), "the platform's file, JSON; usually named by LB_CONFIG")
+	return c
+}
--- a/drill/drill_test.go
+++ b/drill/drill_test.go
@@ -216,13 +216,6 @@
 	}
 }
 
-func TestUnknownRepeatsAllowLeast(t *testing.T) {
-	f, err := readFacts([]byte(settings))
-	if err != nil || f.OpTypes[0].Repeat != control.OnceOnly || f.OpTypes[0].Group != control.GroupPack {
-		t.Fatalf("%+v, %v", f, err)
-	}
-}
-
 func TestPanicBecomesAFault(t *testing.T) {
 	in := &instance{events: []control.Event{control.Ring{Label: 1}}} // no assigner: its call panics
 	if orders, fault := in.decide(0); orders != nil || !strings.Contains(fault, "panic") {
--- a/drill/serve.go
+++ b/drill/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"vetchdoor/control"
+	"vetchdoor/facts"
 	"vetchdoor/policy"
 )
 
@@ -69,7 +70,7 @@
 		if in == nil || len(in.events) == 0 {
 			continue
 		}
-		orders, fault := in.decide(span(b.clock - in.born))
+		orders, fault := in.decide(facts.Span(b.clock - in.born))
 		if fault != "" {
 			out.bailOut(who, fault)
 			continue
@@ -116,13 +117,13 @@
 		if err := f.done(rec.code); err != nil {
 			return 0, err
 		}
-		facts, err := readFacts(settings)
+		start, err := facts.Read(settings)
 		if err != nil {
-			return 0, err
+			return 0, fmt.Errorf("power_on: %w", err)
 		}
 		in = &instance{assigner: &policy.Assigner{}, born: clock}
 		h.instances[who] = in
-		event = control.Start{Facts: facts, Seed: seed}
+		event = control.Start{Facts: start.Facts, Seed: seed}
 	case evKilled:
 		delete(h.instances, who)
 	case evDirectoryUpdate:
@@ -171,7 +172,7 @@
 		out[i] = e.entry
 		out[i].Started = control.LongAgo
 		if e.started > 0 {
-			out[i].Started = span(e.started - born)
+			out[i].Started = facts.Span(e.started - born)
 		}
 	}
 	return out
--- a/drill/options.go
+++ b/facts/facts.go
@@ -1,13 +1,41 @@
-package drill
+// Package facts reads the operators' start settings, the JSON object that an instance is given, for the bench's adapter
+// and for the real pilot alike. Read is the way in. It needs the standard library alone and decides nothing.
+package facts
 
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"time"
 
 	"vetchdoor/control"
 )
 
-// options are the start settings by their names on the wire; keys that are not named here are skipped.
+// Start is what an instance is told, and the names that the settings give to what it knows by number.
+type Start struct {
+	control.Facts
+	Zones    []string
+	Machines []string
+	OpTypes  []string
+	Measures []string // of a load report, in order; empty: none come
+	Probes   bool     // allowed
+}
+
+// Span reads milliseconds; what no clock can show becomes the longest span, and no number none.
+func Span(ms float64) time.Duration {
+	ns := ms * float64(time.Millisecond)
+	switch {
+	case math.IsNaN(ns):
+		return 0
+	case ns >= math.MaxInt64/2:
+		return math.MaxInt64 / 2
+	case ns <= math.MinInt64/2:
+		return math.MinInt64 / 2
+	}
+	return time.Duration(math.Round(ns))
+}
+
+// options are the start settings by their names; keys that are not named here are skipped.
 type options struct {
 	Zones  []string `json:"dcs"`
 	Extra  extra    `json:"extra"`
@@ -17,6 +45,10 @@
 		ColdShare  float64 `json:"cold_share"`
 		DrainGrace float64 `json:"drain_grace"`
 	} `json:"guarantees"`
+	Machines []string `json:"machine_types"`
+	Limits   struct {
+		Probes bool `json:"probes"`
+	} `json:"policy_limits"`
 	Me     int `json:"me"`
 	Peers  int `json:"peers_total"`
 	Prices struct {
@@ -56,6 +88,7 @@
 	Group      string  `json:"group"`
 	LateValue  float64 `json:"late_value"`
 	MemorySpan float64 `json:"memory_span"`
+	Name       string  `json:"name"`
 	SLO        float64 `json:"slo"`
 	Worth      float64 `json:"worth"`
 }
@@ -65,23 +98,24 @@
 	"latency_ms": control.Latency, "qps": control.Rate, "eps": control.ErrorRate,
 }
 
-// readFacts turns the start settings into facts. What an op's repeats may do is read strictly: an effect or a
-// group that is not known counts as the one that allows least.
-func readFacts(settings []byte) (control.Facts, error) {
+// Read turns the start settings into facts. What an op's repeats may do is read strictly: an effect or a group that is
+// not known counts as the one that allows least.
+func Read(settings []byte) (*Start, error) {
 	var o options
 	if err := json.Unmarshal(settings, &o); err != nil {
-		return control.Facts{}, fmt.Errorf("power_on: options: %w", err)
+		return nil, fmt.Errorf("start settings: %w", err)
 	}
 	x := &o.Extra
-	f := control.Facts{
+	f := &Start{Zones: o.Zones, Machines: o.Machines, Probes: o.Limits.Probes}
+	f.Facts = control.Facts{
 		Instance: o.Me, Instances: o.Peers, Zone: o.Zone, Zones: len(o.Zones),
-		AskForList: o.Registry == "ask", Tick: span(o.Tick),
+		AskForList: o.Registry == "ask", Tick: Span(o.Tick),
 		Slices: x.Shards, OutlierAfter: x.OutlierAfter, Bootstrap: x.Bootstrap, Proxies: x.ProxyCount,
 		MessageLines: x.Envelope, LinesPerSecond: x.LinesPerS, MostWaiting: x.MostWaiting,
-		MessageCap: x.UpdateCap, MessageCapOver: span(x.MessagesOver),
-		PushDelayMost: span(x.TransitMax), ReportEvery: span(x.Cycle), ReportLinesPerS: x.IntakePerS,
+		MessageCap: x.UpdateCap, MessageCapOver: Span(x.MessagesOver),
+		PushDelayMost: Span(x.TransitMax), ReportEvery: Span(x.Cycle), ReportLinesPerS: x.IntakePerS,
 		CrossZonePrice: o.Prices.CrossZone, ListedWeights: o.Weights != "off",
-		ColdFor: span(o.Rules.Cold), ColdShare: o.Rules.ColdShare, DrainGrace: span(o.Rules.DrainGrace),
+		ColdFor: Span(o.Rules.Cold), ColdShare: o.Rules.ColdShare, DrainGrace: Span(o.Rules.DrainGrace),
 	}
 	switch x.Admit {
 	case "share":
@@ -91,13 +125,14 @@
 	}
 	if o.Report.How == "inline" || o.Report.How == "on_probe" {
 		for _, name := range o.Report.Names {
-			f.Measures = append(f.Measures, measures[name])
+			f.Facts.Measures = append(f.Facts.Measures, measures[name])
+			f.Measures = append(f.Measures, name)
 		}
 	}
 	for i, g := range o.Grades {
 		t := control.OpType{
-			TargetLatency: span(g.SLO), OpTimeout: span(g.GiveUp), Revenue: g.Worth, LateShare: g.LateValue,
-			Repeat: control.OnceOnly, Group: control.GroupPack, DedupWindow: span(g.MemorySpan),
+			TargetLatency: Span(g.SLO), OpTimeout: Span(g.GiveUp), Revenue: g.Worth, LateShare: g.LateValue,
+			Repeat: control.OnceOnly, Group: control.GroupPack, DedupWindow: Span(g.MemorySpan),
 			OwnZoneOnly: i < len(x.ZoneBound) && x.ZoneBound[i], Writes: i < len(x.Mutating) && x.Mutating[i],
 		}
 		switch g.Effect {
@@ -112,7 +147,8 @@
 		case "zone":
 			t.Group = control.GroupZone
 		}
-		f.OpTypes = append(f.OpTypes, t)
+		f.Facts.OpTypes = append(f.Facts.OpTypes, t)
+		f.OpTypes = append(f.OpTypes, g.Name)
 	}
 	return f, nil
 }
--- a/pilot/admin.go
+++ b/pilot/admin.go
@@ -22,7 +22,7 @@
 			}
 			select {
 			case <-done:
-			case <-p.stopped:
+			case <-p.host.Stopped():
 			}
 			return nil
 		}
@@ -57,22 +57,22 @@
 		}
 	}
 	fmt.Fprintf(w, "Name: vetchdoor\nRole: pilot\nPilot: %s\nZone: %s\nRun: %d\nUptime_sec: %d\n", p.file.Name, p.file.Zone,
-		p.run, int(time.Since(p.born).Seconds()))
+		p.run, int(time.Since(p.host.Born()).Seconds()))
 	fmt.Fprintf(w, "List_version: %d\nServers: %d\nProxies: %d\nProxies_away: %d\nTables: %d\n", p.version,
 		len(p.sortedList()), len(p.sessions), away, len(p.book.tables))
 	fmt.Fprintf(w, "Batches: %d\nDeciding_ms: %d\nMessages: %d\nLines: %d\nLines_waiting: %d\nLines_waiting_peak: %d\n",
-		p.batches, p.deciding.Milliseconds(), p.messages, p.lines, p.channel.waiting, p.channel.peak)
+		p.host.Batches, p.host.Deciding.Milliseconds(), p.messages, p.lines, p.channel.waiting, p.channel.peak)
 	from := p.fresher
 	if from == "" {
 		from = "none"
 	}
 	fmt.Fprintf(w, "Lines_saved: %d\nList_from: %s\nLeaving: %t\nSent_elsewhere: %d\n", p.book.saved, from, p.leaving, p.turned)
-	fmt.Fprintf(w, "Resumed: %d\nRefused: %d\nOverflows: %d\nPanics: %d\n", p.resumed, p.refused, p.overflows, p.panics)
+	fmt.Fprintf(w, "Resumed: %d\nRefused: %d\nOverflows: %d\nPanics: %d\n", p.resumed, p.refused, p.overflows, p.host.Panics)
 	if p.Info != nil {
 		p.Info(w)
 	}
 	if m := p.mover; m != nil {
-		moving, waiting := m.Moving(p.now())
+		moving, waiting := m.Moving(p.host.Now())
 		fmt.Fprintf(w, "Moves: %d\nMoves_waiting: %d\nMoved: %d\nMoves_cancelled: %d\nBindings_waiting: %d\n", len(moving), waiting, m.moved, m.undone, m.waiting())
 	}
 }
--- a/pilot/fleet_test.go
+++ b/pilot/fleet_test.go
@@ -17,6 +17,7 @@
 	"vetchdoor/fleet"
 	stand "vetchdoor/lab/roster"
 	"vetchdoor/members"
+	"vetchdoor/pilot/host"
 	"vetchdoor/proxy"
 	sessions "vetchdoor/session"
 )
@@ -269,7 +270,7 @@
 		t.Fatal(err)
 	}
 	release, noticed := make(chan bool), make(chan time.Time, 1)
-	p.newDecider = func() decider { return hanging(release) }
+	p.host.New = func() host.Decider { return hanging(release) }
 	p.Stuck = func() { noticed <- time.Now() }
 	begin := time.Now()
 	if err := p.Start(); err != nil {
@@ -291,7 +292,7 @@
 		t.Fatal(err)
 	}
 	release, noticed, ended := make(chan bool), make(chan bool, 1), make(chan bool)
-	p.newDecider = func() decider { return hanging(release) }
+	p.host.New = func() host.Decider { return hanging(release) }
 	p.Stuck = func() { noticed <- true }
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
--- a/pilot/list.go
+++ b/pilot/list.go
@@ -16,7 +16,7 @@
 // listed takes in what the list service says.
 func (p *Pilot) listed(u *roster.Update) {
 	if u.Kind == "failed" {
-		p.event(control.Listing{Kind: control.Failed})
+		p.host.Event(control.Listing{Kind: control.Failed})
 		return
 	}
 	var known []roster.Entry
@@ -55,7 +55,7 @@
 	}
 	p.version, p.fresher = u.Version, "list"
 	if p.given = p.given || len(known) > 0; p.given {
-		p.event(control.Listing{Kind: kind, Entries: p.entries(known)})
+		p.host.Event(control.Listing{Kind: kind, Entries: p.entries(known)})
 	}
 	if len(moved) > 0 {
 		p.readdress(moved)
@@ -85,7 +85,7 @@
 		return
 	}
 	p.readdressed = time.Now()
-	p.queue(p.now(), p.book.moved(slices.Sorted(maps.Keys(p.moving))))
+	p.queue(p.host.Now(), p.book.moved(slices.Sorted(maps.Keys(p.moving))))
 	clear(p.moving)
 	p.pump()
 }
@@ -110,7 +110,7 @@
 		out[i] = control.Entry{Endpoint: e.Endpoint, Weight: e.Weight, Mode: mode, Started: control.LongAgo,
 			Machine: e.Machine, Zone: p.file.Service.ZoneIndex(e.Zone), Pack: e.Pack}
 		if e.Started > 0 {
-			out[i].Started = time.UnixMilli(e.Started).Sub(p.born)
+			out[i].Started = time.UnixMilli(e.Started).Sub(p.host.Born())
 		}
 	}
 	return out
--- a/pilot/moves.go
+++ b/pilot/moves.go
@@ -66,7 +66,7 @@
 	if w.Abreast <= 0 {
 		w.Abreast = defaultAbreast
 	}
-	p.mover = &mover{Mover: tenancy.NewMover(w, kept.Born, kept.Records, kept.Known), store: s, wake: time.NewTimer(0),
+	p.mover = &mover{Mover: tenancy.NewMover(w, kept.Born, kept.Records, kept.Known), store: s, wake: p.host.After(0, func() { p.move() }),
 		kept: kept.Sentences}
 	p.mover.disk = startDisk(s, p.log, func(orders []bound) { p.post(func() { p.bindings(orders) }) })
 	p.log.Info("tenants may be moved", "store", f.Store, "moved", len(kept.Records), "proxies", len(kept.Known))
@@ -79,7 +79,7 @@
 	if m == nil {
 		return nil
 	}
-	d := m.Step(p.now(), events...)
+	d := m.Step(p.host.Now(), events...)
 	for _, e := range events {
 		if e.Ask != nil && len(d.Refused) == 0 {
 			p.records.movesAsked(*e.Ask)
@@ -154,7 +154,7 @@
 	} else {
 		s.bindings = nil
 	}
-	p.queue(p.now(), []outgoing{p.book.alone(s.id, changes)})
+	p.queue(p.host.Now(), []outgoing{p.book.alone(s.id, changes)})
 	return true
 }
 
@@ -434,7 +434,7 @@
 	if p.mover == nil {
 		return p.asked(tenancy.Event{})
 	}
-	moving, waiting := p.mover.Moving(p.now())
+	moving, waiting := p.mover.Moving(p.host.Now())
 	fmt.Fprintln(w, "# tenant,phase,from,to,held_ms,left_ms,awaited,away,")
 	for _, m := range moving {
 		fmt.Fprintf(w, "%s,%s,%s,%s,%d,%d,%s,%s,\n", runtime.Quote("="+m.Tenant), m.Phase, m.Seat, m.To, m.Held.Milliseconds(), m.Left.Milliseconds(),
--- a/pilot/moves_test.go
+++ b/pilot/moves_test.go
@@ -18,6 +18,7 @@
 	"vetchdoor/files"
 	"vetchdoor/lab/link"
 	stand "vetchdoor/lab/roster"
+	"vetchdoor/pilot/host"
 	"vetchdoor/proxy"
 	"vetchdoor/runtime"
 	"vetchdoor/tenancy"
@@ -261,7 +262,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	q.newDecider = func() decider { return &script{} }
+	q.host.New = func() host.Decider { return &script{} }
 	if err := q.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -12,8 +12,6 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
-	goruntime "runtime"
-	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,7 +22,7 @@
 	"vetchdoor/fleet"
 	"vetchdoor/http1"
 	"vetchdoor/members"
-	"vetchdoor/policy"
+	"vetchdoor/pilot/host"
 	"vetchdoor/roster"
 	"vetchdoor/runtime"
 	sessions "vetchdoor/session"
@@ -33,18 +31,12 @@
 	"vetchdoor/upstream"
 )
 
-// decider is the module's one entry point; tests put another in its place.
-type decider interface {
-	Decide(now time.Duration, events []control.Event) []control.Order
-}
-
 // Pilot is a running pilot.
 type Pilot struct {
 	file  *files.Pilot
 	log   *slog.Logger
 	facts control.Facts
-	born  time.Time
-	seed  uint64
+	host  *host.Host
 
 	// Records, if not nil at Start, gets a record of each decision; it must not hold up who logs.
 	Records *slog.Logger
@@ -59,24 +51,18 @@
 	// Net, if not nil at Start, is what connections to proxies, servers, peers and the list run over; else sockets.
 	Net stream.Net
 
-	inbox    chan func()
-	stop     chan struct{}
-	stopped  chan struct{}
-	ending   sync.Once
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
-	ln       *stream.Listener
-	admin    *sessions.Listener
-	probes   *upstream.Pool
-	members  *members.Members // nil: this pilot hears of no others
-	told     atomic.Pointer[members.Who]
-	probing  atomic.Int64
-	noting   atomic.Int64
-	inModule atomic.Int64 // when the module was last called, since born; 0: it came back
+	ending  sync.Once
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	ln      *stream.Listener
+	admin   *sessions.Listener
+	probes  *upstream.Pool
+	members *members.Members // nil: this pilot hears of no others
+	told    atomic.Pointer[members.Who]
+	probing atomic.Int64
+	noting  atomic.Int64
 
 	// What follows is the loop's own.
-	newDecider   func() decider
-	assigner     decider
 	run          uint64
 	book         *book
 	channel      *channel
@@ -86,13 +72,11 @@
 	loads        map[tenancy.PodID]*[2]float64 // what servers said since the last look: sum and number
 	mover        *mover                        // nil: tenants are not moved
 	records      *recorder
-	fresher      string    // where the list is from: list, cache, or nowhere
-	given        bool      // the module has had a list with servers on it
-	leaving      bool      // it ends: proxies are sent to others
-	turned       uint64    // hellos that were sent elsewhere
-	outran       time.Time // when a proxy last held a later run than this one
-	events       []control.Event
-	batch        *time.Timer // set while events wait for their tick
+	fresher      string      // where the list is from: list, cache, or nowhere
+	given        bool        // the module has had a list with servers on it
+	leaving      bool        // it ends: proxies are sent to others
+	turned       uint64      // hellos that were sent elsewhere
+	outran       time.Time   // when a proxy last held a later run than this one
 	pace         *time.Timer // set while a message waits for its time
 	sessions     map[control.ProxyID]*session
 	wires        map[*wire]bool
@@ -106,36 +90,32 @@
 	saver        *saver
 	silent       time.Duration
 	resumeWithin time.Duration
-	batches      uint64
 	messages     uint64
 	lines        uint64
 	resumed      uint64
 	refused      uint64
 	overflows    uint64
-	panics       uint64
-	deciding     time.Duration
 }
 
 // New makes a pilot from its file.
 func New(file *files.Pilot, log *slog.Logger) (*Pilot, error) {
-	p := &Pilot{file: file, log: log.With("pilot", file.Name), facts: file.Facts(), born: time.Now(), seed: file.Seed,
-		inbox: make(chan func(), 1024), stop: make(chan struct{}), stopped: make(chan struct{}),
-		newDecider: func() decider { return &policy.Assigner{} },
-		list:       map[control.EndpointID]roster.Entry{}, wires: map[*wire]bool{}, moving: map[control.EndpointID]bool{},
-		silent: file.Silent.Span(), resumeWithin: file.Resume.Span(), probes: &upstream.Pool{}}
-	if p.seed == 0 {
-		p.seed = rand.Uint64()
-	}
-	if p.facts.Tick <= 0 {
-		p.facts.Tick = 5 * time.Millisecond
+	seed := file.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
 	}
+	p := &Pilot{file: file, log: log.With("pilot", file.Name),
+		list: map[control.EndpointID]roster.Entry{}, wires: map[*wire]bool{}, moving: map[control.EndpointID]bool{},
+		silent: file.Silent.Span(), resumeWithin: file.Resume.Span(), probes: &upstream.Pool{}}
+	p.host = host.New(file.Facts(), seed, p.log)
+	p.host.Front, p.facts = p, p.host.Facts
 	if p.silent <= 0 {
 		p.silent = 10 * time.Second
 	}
 	if p.resumeWithin <= 0 {
 		p.resumeWithin = 2 * time.Second
 	}
-	p.run = uint64(p.born.UnixMicro())
+	p.host.Silent = p.silent
+	p.run = uint64(p.host.Born().UnixMicro())
 	return p, nil
 }
 
@@ -149,7 +129,7 @@
 			p.closeAll()
 		}
 	}()
-	rng := rand.New(rand.NewPCG(p.seed, uint64(p.file.Instance)))
+	rng := rand.New(rand.NewPCG(p.host.Seed, uint64(p.file.Instance)))
 	p.probes.Net = p.Net
 	p.source = &roster.Client{Address: p.file.Roster, Log: p.log, Rand: rng, Net: p.Net,
 		Take: func(u *roster.Update) { p.post(func() { p.listed(u) }) }}
@@ -174,9 +154,10 @@
 	for _, t := range p.file.Service.OpTypes {
 		types = append(types, t.Name)
 	}
-	p.records = newRecorder(p.Records, p.file.Name, types, p.run, p.now)
+	p.records = newRecorder(p.Records, p.file.Name, types, p.run, p.host.Now)
 	p.records.began(p.run, "start")
-	p.fresh()
+	p.host.Stuck = p.Stuck
+	p.host.Fresh()
 	if p.ln, err = stream.Listen(p.Net, p.file.Listen, p.accept); err != nil {
 		return err
 	}
@@ -191,9 +172,17 @@
 	}
 	p.done.Add(2)
 	go func() { defer p.done.Done(); p.source.Run(ctx) }()
-	go func() { defer p.done.Done(); p.guard() }()
+	go func() { defer p.done.Done(); p.host.Guard() }()
 	p.log.Info("pilot runs", "listen", p.ln.Address(), "run", p.run, "list", len(p.list)) // before the loop owns the list
-	go p.loop()
+	p.pace = p.host.After(time.Hour, p.pump)
+	p.host.Every(p.facts.ReportEvery, func() {
+		for _, e := range p.intake.take(p.facts.ReportEvery) {
+			p.host.Event(e)
+		}
+		p.limitTenants()
+	})
+	p.host.Every(min(p.silent/4, time.Second), p.watch)
+	go p.host.Run()
 	return nil
 }
 
@@ -275,7 +264,7 @@
 	p.post(func() {
 		select {
 		case <-time.After(d):
-		case <-p.stop:
+		case <-p.host.Stopping():
 		}
 	})
 }
@@ -289,8 +278,7 @@
 }
 
 func (p *Pilot) end() {
-	close(p.stop)
-	<-p.stopped
+	p.host.Stop()
 	p.closeAll()
 }
 
@@ -317,68 +305,10 @@
 }
 
 // post has the loop run f; false if the pilot has ended.
-func (p *Pilot) post(f func()) bool {
-	select {
-	case <-p.stop:
-		return false
-	default:
-	}
-	select {
-	case p.inbox <- f:
-		return true
-	case <-p.stop:
-		return false
-	}
-}
-
-func (p *Pilot) loop() {
-	defer close(p.stopped)
-	report := time.NewTicker(p.facts.ReportEvery)
-	defer report.Stop()
-	watch := time.NewTicker(min(p.silent/4, time.Second))
-	defer watch.Stop()
-	p.batch, p.pace = time.NewTimer(time.Hour), time.NewTimer(time.Hour)
-	p.decide()
-	var moves <-chan time.Time
-	if p.mover != nil {
-		moves = p.mover.wake.C
-	}
-	for {
-		select {
-		case <-p.stop:
-			return
-		case <-moves:
-			p.move()
-		case f := <-p.inbox:
-			f()
-		case <-p.batch.C:
-			p.decide()
-		case <-p.pace.C:
-			p.pump()
-		case <-report.C:
-			for _, e := range p.intake.take(p.facts.ReportEvery) {
-				p.event(e)
-			}
-			p.limitTenants()
-		case <-watch.C:
-			p.watch()
-		}
-	}
-}
-
-// now is the time since this pilot's start, which is all that the module knows.
-func (p *Pilot) now() time.Duration { return time.Since(p.born) }
-
-// event keeps an event for the batch at the next tick.
-func (p *Pilot) event(e control.Event) {
-	if p.events = append(p.events, e); len(p.events) == 1 && p.batch != nil {
-		p.batch.Reset(p.facts.Tick)
-	}
-}
+func (p *Pilot) post(f func()) bool { return p.host.Post(f) }
 
-// fresh starts the module anew, with the list as it is known and nothing else.
-func (p *Pilot) fresh() {
-	p.assigner = p.newDecider()
+// Begin starts the book anew, with the list as it is known and nothing else.
+func (p *Pilot) Begin() (events []control.Event) {
 	p.book = newBook(len(p.facts.OpTypes), int(p.facts.MessageLines), p.where)
 	p.channel = newChannel(p.facts.LinesPerSecond, p.facts.MostWaiting)
 	p.intake = newIntake(p.facts.ReportLinesPerS, len(p.facts.Measures))
@@ -398,30 +328,15 @@
 		}
 	}
 	p.sessions, p.numbers = map[control.ProxyID]*session{}, map[control.ProxyID]uint64{}
-	p.events = []control.Event{control.Start{Facts: p.facts, Seed: p.seed}}
 	list := p.sortedList()
 	if p.given = len(list) > 0; p.given { // the module lays out its cells by the first list, which must not be empty
-		p.events = append(p.events, control.Listing{Kind: control.Cached, Entries: p.entries(list)})
+		events = append(events, control.Listing{Kind: control.Cached, Entries: p.entries(list)})
 	}
-	p.seed++
+	return events
 }
 
-// decide hands the module its batch and carries out what it orders.
-func (p *Pilot) decide() {
-	events := p.events
-	p.events = nil
-	if len(events) == 0 {
-		return
-	}
-	now := p.now()
-	orders, fault := p.ask(now, events)
-	p.deciding += p.now() - now
-	p.batches++
-	if fault != nil {
-		p.panics++
-		p.restart("panic")
-		return
-	}
+// Carry carries out what the module orders.
+func (p *Pilot) Carry(now time.Duration, orders []control.Order) {
 	messages, rest := p.book.write(orders)
 	p.records.ordered(orders)
 	p.records.sent(orders, messages)
@@ -432,55 +347,8 @@
 	p.pump()
 }
 
-// ask runs the module; a panic in it becomes a fault.
-func (p *Pilot) ask(now time.Duration, events []control.Event) (orders []control.Order, fault any) {
-	defer func() {
-		if fault = recover(); fault != nil {
-			p.log.Error("the module panicked", "panic", fmt.Sprint(fault), "now", now, "events", describe(events),
-				"stack", string(debug.Stack()))
-		}
-	}()
-	p.inModule.Store(max(1, int64(p.now())))
-	defer p.inModule.Store(0)
-	return p.assigner.Decide(now, events), nil
-}
-
-// guard watches the module from beside the loop, for as long as that runs: an end waits for the loop too.
-func (p *Pilot) guard() {
-	t := time.NewTicker(max(p.silent/40, time.Millisecond))
-	defer t.Stop()
-	for {
-		select {
-		case <-p.stopped:
-			return
-		case <-t.C:
-		}
-		since := time.Duration(p.inModule.Load())
-		if since == 0 || p.now()-since < p.silent/2 {
-			continue
-		}
-		stacks := make([]byte, 64<<10)
-		stacks = stacks[:goruntime.Stack(stacks, true)]
-		p.log.Error("the module does not come back; this process must end", "for", p.now()-since, "stacks", string(stacks))
-		if p.Stuck != nil {
-			p.Stuck()
-		}
-		return
-	}
-}
-
-// describe writes events for the log, the first of them whole.
-func describe(events []control.Event) string {
-	const most = 4096
-	s := ""
-	for i, e := range events {
-		if len(s) > most {
-			return fmt.Sprintf("%s; and %d more", s[:most], len(events)-i)
-		}
-		s += fmt.Sprintf("%T%+v; ", e, e)
-	}
-	return s
-}
+// Panicked goes on with a new module.
+func (p *Pilot) Panicked() { p.restart("panic") }
 
 // restart goes on as a new run, after a panic or where this one is too old: the streams are closed, the proxies keep their
 // tables and join again.
@@ -494,8 +362,7 @@
 		delete(p.wires, w)
 	}
 	p.records.began(p.run, why)
-	p.fresh()
-	p.batch.Reset(p.facts.Tick)
+	p.host.Fresh()
 }
 
 // queue gives messages to the channel. One that has no room there would be lost in the midst of its proxy's others, so
@@ -518,7 +385,7 @@
 // pump sends what the channel lets out now.
 func (p *Pilot) pump() {
 	for {
-		m, ok, wait := p.channel.next(p.now(), func(id control.ProxyID, lines int) bool {
+		m, ok, wait := p.channel.next(p.host.Now(), func(id control.ProxyID, lines int) bool {
 			s := p.sessions[id]
 			return s != nil && s.conn != nil && (s.unconfirmed == 0 || s.unconfirmed+lines <= s.window)
 		})
@@ -566,7 +433,7 @@
 	for _, l := range limits {
 		changes = append(changes, runtime.LimitOf(l))
 	}
-	p.queue(p.now(), p.book.limit(changes))
+	p.queue(p.host.Now(), p.book.limit(changes))
 	p.pump()
 }
 
@@ -612,15 +479,6 @@
 // do carries out an order that is not for proxies.
 func (p *Pilot) do(o control.Order) {
 	switch o := o.(type) {
-	case control.Wake:
-		run := p.run
-		time.AfterFunc(o.After, func() {
-			p.post(func() {
-				if p.run == run {
-					p.event(control.Ring{Label: o.Label})
-				}
-			})
-		})
 	case control.Probe:
 		p.probe(o.Endpoint)
 	case control.Publish:
@@ -642,7 +500,7 @@
 func (p *Pilot) probe(id control.EndpointID) {
 	e, ok := p.list[id]
 	if !ok || p.probing.Load() >= mostProbes {
-		p.event(control.Probed{Endpoint: id, Outcome: control.ProbeOther})
+		p.host.Event(control.Probed{Endpoint: id, Outcome: control.ProbeOther})
 		return
 	}
 	p.probing.Add(1)
@@ -672,7 +530,7 @@
 			}
 			a.Release()
 		}
-		p.post(func() { p.event(out) })
+		p.post(func() { p.host.Event(out) })
 	}()
 }
 
--- a/pilot/pilot_test.go
+++ b/pilot/pilot_test.go
@@ -23,6 +23,7 @@
 	"vetchdoor/http1"
 	"vetchdoor/lab/link"
 	stand "vetchdoor/lab/roster"
+	"vetchdoor/pilot/host"
 	"vetchdoor/proxy"
 	"vetchdoor/roster"
 	"vetchdoor/runtime"
@@ -74,7 +75,7 @@
 	r.module.mu.Lock()
 	r.module.next = append(r.module.next, orders)
 	r.module.mu.Unlock()
-	r.p.post(func() { r.p.event(control.Ring{}) })
+	r.p.post(func() { r.p.host.Event(control.Ring{}) })
 	r.until("ordered", func() bool { r.module.mu.Lock(); defer r.module.mu.Unlock(); return len(r.module.next) == 0 })
 }
 
@@ -131,7 +132,7 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	p.newDecider = func() decider { return r.module }
+	p.host.New = func() host.Decider { return r.module }
 	if err := p.Start(); err != nil {
 		r.t.Fatal(err)
 	}
@@ -412,7 +413,7 @@
 	r.until("joined", func() bool { return count[control.Joined](r.module) == 1 })
 	r.order(append(table(1, 2), control.Bind{Proxy: 1}, control.Checkpoint{Number: 1})...)
 	r.until("bound", func() bool { return count[control.InForce](r.module) == 1 })
-	r.p.post(func() { r.p.event(control.Ring{Label: 666}) })
+	r.p.post(func() { r.p.host.Event(control.Ring{Label: 666}) })
 	r.until("started afresh", func() bool { return count[control.Start](r.module) == 2 && count[control.Joined](r.module) == 2 })
 	if !strings.Contains(x.Stat(), "e1,UP,2") {
 		t.Errorf("tables are gone: %s", x.Stat())
@@ -435,7 +436,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.run, p.newDecider = run-3_600_000_000, func() decider { return r.module }
+	p.run, p.host.New = run-3_600_000_000, func() host.Decider { return r.module }
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/pilot/push_bench_test.go
+++ b/pilot/push_bench_test.go
@@ -11,6 +11,7 @@
 
 	"vetchdoor/control"
 	"vetchdoor/files"
+	"vetchdoor/pilot/host"
 	"vetchdoor/proxy"
 	"vetchdoor/roster"
 )
@@ -30,7 +31,7 @@
 	for i := range control.EndpointID(servers) {
 		p.list[i] = roster.Entry{Endpoint: i, Address: netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", 10000+i)), Zone: "z", Weight: 1, Mode: "ready"}
 	}
-	p.newDecider = func() decider { return module }
+	p.host.New = func() host.Decider { return module }
 	if err := p.Start(); err != nil {
 		b.Fatal(err)
 	}
@@ -57,7 +58,7 @@
 		module.mu.Lock()
 		module.next = append(module.next, orders)
 		module.mu.Unlock()
-		p.post(func() { p.event(control.Ring{}) })
+		p.post(func() { p.host.Event(control.Ring{}) })
 	}
 	wait("joined", func() bool { return count[control.Joined](module) == proxies })
 	var first []control.Order
--- a/pilot/records_test.go
+++ b/pilot/records_test.go
@@ -14,6 +14,7 @@
 	"vetchdoor/control"
 	"vetchdoor/files"
 	"vetchdoor/lab/receiver"
+	"vetchdoor/pilot/host"
 	"vetchdoor/policy"
 	"vetchdoor/record"
 	"vetchdoor/runtime"
@@ -164,7 +165,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	p.newDecider = func() decider { return &policy.Assigner{} }
+	p.host.New = func() host.Decider { return &policy.Assigner{} }
 	if how != "off" {
 		route := syslog.Route{Network: "file", Address: filepath.Join(b.TempDir(), "log"), Buffer: 1 << 16}
 		if how == "stuck" {
@@ -184,12 +185,12 @@
 	}
 	now := time.Duration(0)
 	p.records = newRecorder(p.Records, "p", []string{"a"}, 1, func() time.Duration { return now })
-	p.fresh()
+	p.host.Fresh()
 	var entries []control.Entry
 	for i := range servers {
 		entries = append(entries, control.Entry{Endpoint: control.EndpointID(i), Weight: 4, Mode: control.Ready, Started: control.LongAgo})
 	}
-	events := append(p.events, control.Listing{Kind: control.Full, Entries: entries})
+	events := append(p.host.Pending(), control.Listing{Kind: control.Full, Entries: entries})
 	for i := range control.ProxyID(proxies) {
 		p.book.join(i, nil, false, 0)
 		events = append(events, control.Joined{Proxy: i, Rate: 50})
@@ -211,7 +212,7 @@
 		}
 		events = append(events, control.Ring{Label: 1})
 		begin := time.Now()
-		orders, _ := p.ask(now, events)
+		orders, _ := p.host.Ask(now, events)
 		messages, _ := p.book.write(orders)
 		p.records.ordered(orders)
 		p.records.sent(orders, messages)
--- a/pilot/streams.go
+++ b/pilot/streams.go
@@ -133,7 +133,7 @@
 			}
 		}
 	case *runtime.Sums:
-		p.intake.add(p.now(), s.id, s.zone, b)
+		p.intake.add(p.host.Now(), s.id, s.zone, b)
 		p.used(b)
 	}
 }
@@ -270,7 +270,7 @@
 		return
 	}
 	s.announced = true
-	p.event(control.Joined{Proxy: s.id, Zone: s.zone, Rate: s.rate, Standing: s.standing})
+	p.host.Event(control.Joined{Proxy: s.id, Zone: s.zone, Rate: s.rate, Standing: s.standing})
 }
 
 // resume puts what the proxy has not applied back into the channel; false if it cannot go on where it was.
@@ -294,8 +294,8 @@
 	s.unconfirmed -= m.Lines
 	p.placed(s, m)
 	if m.Checkpoint >= 0 {
-		p.records.inForce(s.id, m.Checkpoint, p.now()-m.At)
-		p.event(control.InForce{Proxy: s.id, Checkpoint: m.Checkpoint, Took: p.now() - m.At})
+		p.records.inForce(s.id, m.Checkpoint, p.host.Now()-m.At)
+		p.host.Event(control.InForce{Proxy: s.id, Checkpoint: m.Checkpoint, Took: p.host.Now() - m.At})
 	}
 }
 
@@ -346,7 +346,7 @@
 	p.away(s.id)
 	p.records.left(s.id)
 	if s.announced {
-		p.event(control.Left{Proxy: s.id})
+		p.host.Event(control.Left{Proxy: s.id})
 	}
 }
 
@@ -378,7 +378,7 @@
 		p.reject(w, fmt.Sprintf("a note of instance %d, which is no peer", n.From))
 		return
 	}
-	p.event(control.PeerNote{From: n.From, Data: n.Data})
+	p.host.Event(control.PeerNote{From: n.From, Data: n.Data})
 	delete(p.wires, w)
 	w.conn.End()
 }
