Failing of few tries tells less: the margin for a sick server widens with them

At fault: health took share > rest + sickMargin for a sign with as few as four tries behind the share.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,7 @@
 	unhurried   = 0.15    // of the target latency: how long an op takes on an idle server
 	outShare    = 1.0 / 3 // of a cell's servers: at most so many are out as sick
 	sickMargin  = 0.25    // of the tries, failing more than elsewhere
+	unsure      = 2       // margins more where tries are the least that mean anything
 	lost        = 0.9     // of the tries failing: nothing is lost by taking it out
 	wholly      = 0.95    // let in: what comes is free of repeats
 	failsMuch   = 0.12    // of all tries failing: distress
@@ -456,10 +457,11 @@
 		share, rest := e.fails, min(a.failing, (a.met.fails-e.fails)/max(1, a.met.servers-1))
 		silent, few := share > lost && e.load < full, e.cell.sick < int(outShare*float64(e.cell.ready))
 		calmer := e.load < min(busy, a.load) && a.cold(e) == 1
-		if share > rest+sickMargin && (calmer || silent) && (few || share > lost && a.stands(e.cell)) {
+		limit := rest + sickMargin*(1+unsure*leastTries/e.tries)
+		if share > limit && (calmer || silent) && (few || share > lost && a.stands(e.cell)) {
 			e.sickFor = time.Duration((1 + a.chance()) * float64(a.lag()<<min(e.spells, settledLags)))
 			e.sick, e.turnAt, e.spells = true, a.now, e.spells+1
-			e.why = control.Why{Reason: control.Sick, Value: share, Limit: rest + sickMargin}
+			e.why = control.Why{Reason: control.Sick, Value: share, Limit: limit}
 			e.cell.sick++
 		}
 	}
