--- /dev/null
+++ b/deploy/deploy_test.go
@@ -0,0 +1,84 @@
+package deploy
+
+import (
+	"debug/elf"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// line is what balancer.toml says under a name.
+func line(t *testing.T, name string) string {
+	t.Helper()
+	b, err := os.ReadFile("balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := regexp.MustCompile(`(?m)^` + name + ` = "(.*)"$`).FindSubmatch(b)
+	if m == nil {
+		t.Fatalf("balancer.toml has no line %q", name)
+	}
+	return string(m[1])
+}
+
+// TestDynamicLink builds what the deploy file builds, elsewhere, and looks at what run starts: one program by exec, which
+// the C library's loader loads, so that the operators can load a library of theirs into it.
+func TestDynamicLink(t *testing.T) {
+	build, dir := line(t, "build"), t.TempDir()
+	if n := strings.Count(build, " bin"); n < 2 {
+		t.Fatalf("build names its folder %d times: %s", n, build)
+	}
+	c := exec.Command("/bin/sh", "-c", strings.ReplaceAll(build, " bin", " "+dir))
+	c.Dir = ".."
+	if out, err := c.CombinedOutput(); err != nil {
+		t.Fatalf("%s: %v\n%s", build, err, out)
+	}
+	for _, name := range []string{"run", "sim"} {
+		words := strings.Fields(line(t, name))
+		if len(words) < 2 || words[0] != "exec" {
+			t.Fatalf("%s does not end in its program by exec: %v", name, words)
+		}
+		if !dynamic(t, filepath.Join(dir, filepath.Base(words[1]))) {
+			t.Errorf("%s: %s is linked statically", name, words[1])
+		}
+	}
+}
+
+// TestStaticLinkIsSeen builds a program without cgo, for which the check above must fail.
+func TestStaticLinkIsSeen(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "drill")
+	c := exec.Command("go", "build", "-o", path, "vetchdoor/cmd/drill")
+	c.Env = append(os.Environ(), "CGO_ENABLED=0")
+	if out, err := c.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	if dynamic(t, path) {
+		t.Error("a static program passes for a dynamic one")
+	}
+}
+
+// dynamic tells whether a program names an interpreter and needs the C library.
+func dynamic(t *testing.T, path string) bool {
+	t.Helper()
+	f, err := elf.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	needed, err := f.ImportedLibraries()
+	if err != nil {
+		t.Fatal(err)
+	}
+	libc := false
+	for _, l := range needed {
+		libc = libc || strings.HasPrefix(l, "libc.so")
+	}
+	interpreter := false
+	for _, p := range f.Progs {
+		interpreter = interpreter || p.Type == elf.PT_INTERP
+	}
+	return interpreter && libc
+}
