Lines that let endpoints in again by name are charged to the channel

A probe that counted each message as the protocol does, beside the module's own count, showed 'messages=95 lines=1645 restores=1336 mod=10575' and the like: per message 17.4 lines and 3 of the head, as charged, but 13 to 14 'restore' beside them that nobody charged.

Cause: on the platform a proxy keeps over a change of streams what it was told to shut out, so that book.tell names every endpoint of a table to let it in again; Assigner.bind and putLines charge a line alone, as on the simulator, where a bind ends foreign withdrawals at no cost.

Change: the platform's front tells the module so (Facts.KeepsShut); bind charges two lines an endpoint for proxies that came with tables, a new line in a table two.

Test over sockets: eight proxies return and confirm nothing, 100 lines may wait; without the charge 132 wait each time, with it at most 100 (50 plays under -race).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -118,6 +118,7 @@
 	cell         *cell     // where it belongs; nil: the commons
 	table        *table    // as last sent; nil: its standing table
 	placed, away bool
+	shuts        bool // it may shut out who is not withdrawn: what it brought along, or who was forgotten
 	leftAt       time.Duration
 	lines, sent  float64     // of the message that this turn writes to it; of those not confirmed
 	last         int         // number of the newest
@@ -318,6 +319,9 @@
 		if e.out {
 			e.out = false
 			a.do(control.Suspend{Endpoint: e.id, Why: e.whyOut()})
+			for _, p := range a.joined {
+				p.shuts = a.facts.KeepsShut
+			}
 		}
 		delete(a.endpoints, e.id)
 		return true
@@ -326,7 +330,7 @@
 
 func (a *Assigner) join(j control.Joined) {
 	a.leave(j.Proxy)
-	p := &proxy{id: j.Proxy, zone: j.Zone}
+	p := &proxy{id: j.Proxy, zone: j.Zone, shuts: a.facts.KeepsShut && !j.Standing}
 	for _, op := range a.ops {
 		p.rates = append(p.rates, max(j.Rate, 0)*op.cost/float64(len(a.ops)))
 		p.demand += p.rates[len(p.rates)-1]
@@ -848,7 +852,11 @@
 			gone := want == 0 && !e.usable()
 			later := told != 0 && room == hardWaiting && (gone || want > told) || len(users) == 0 && !wanted
 			later = later || e.sick && told > 0 || gone && !e.out && len(users) > 0
-			if want != told && !later && a.charge(room, 1, users...) {
+			lines := 1.0
+			if told == 0 && a.facts.KeepsShut {
+				lines++ // that it is withdrawn, or not, is sent along
+			}
+			if want != told && !later && a.charge(room, lines, users...) {
 				e.told[t.id] = want
 				why := a.whyLine(e, told, want)
 				a.do(control.PutLine{Table: t.id, Endpoint: e.id, Weight: want, Why: why})
@@ -870,8 +878,8 @@
 		}
 		lines := 1.0
 		for _, e := range a.listed {
-			if e.told[t.id] > 0 && e.out {
-				lines += 2 // its withdrawal is sent along
+			if e.told[t.id] > 0 && (e.out || p.shuts) {
+				lines += 2 // that it is withdrawn, or not, is sent along
 			} else if e.told[t.id] > 0 {
 				lines++
 			}
