A herd that returns no longer fills the channel before a drain

Followed one server, s-, through the logs of all pilots: those that had just started withdrew it at 19.76 s with why=draining; pilot 0, which alone had lived on and had 1,640 proxies join within 0.3 s, said 'bind' 135, 696 and 432 times in three tenths of a second, 10 to 20 times in each of the next 28, and its first 'suspend' at 20.0 s, that of s- at 22.286 s. What it writes then leaves a full channel seven seconds later (most_waiting 54200 at lines_per_s 7300).

Cause: charge lets every order fill the channel to nine tenths of MostWaiting, which is longer than the grace where MostWaiting is many seconds of the channel; and a withdrawal is charged for all its holders at once, proxies not bound yet among them, so that binds for one starve it.

Change: what can be put off also waits while the lines before it take a quarter of the grace; the bind of a proxy that came with tables can be put off; while all unbound proxies can be bound, withdrawals go to bound ones alone, since ejecting all that drain costs as much as the whole table.

--- a/control/control.go
+++ b/control/control.go
@@ -306,6 +306,7 @@
 	Suspend struct {
 		Endpoint EndpointID
 		Out      bool
+		Bound    bool // at proxies that were bound alone; others are about to be
 		Why      Why
 	}
 	Checkpoint struct {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,6 +39,7 @@
 	awayLags    = 10      // a proxy whose stream broke counts this long
 	softWaiting = 0.4     // of what may wait: orders that can be put off keep under it
 	hardWaiting = 0.9     // of what may wait: no order goes past it
+	swift       = 0.25    // of the drains' grace: while all that waits takes longer, what can be put off is
 	smoothing   = 0.4     // the newest sum's part in a running mean
 	steady      = 20.0    // tries that weigh as much as all before them
 	unhurried   = 0.15    // of the target latency: how long an op takes on an idle server
@@ -821,13 +822,18 @@
 }
 
 // withdraw shuts servers out, or lets them in again, at the proxies whose tables may name them; a sick one
-// stays where a table would be bare.
+// stays where a table would be bare. Who is told by name of all in a whole table is rather bound to one.
 func (a *Assigner) withdraw() {
+	unbound := a.users(nil)
+	stuck := func(p *proxy) bool { return !a.facts.KeepsShut || !p.placed || !a.serves(a.due(p), nil) }
+	if !slices.ContainsFunc(unbound, stuck) {
+		unbound = nil
+	}
 	for _, e := range a.listed {
 		if e.out != e.usable() {
 			continue
 		}
-		holders, bare := a.users(nil), false
+		holders, bare := slices.Clone(unbound), false
 		for _, t := range []*table{e.cell.table, a.tables[len(a.tables)-1]} { // no other names it
 			if users := a.users(t); e.told[t.id] > 0 && len(users) > 0 {
 				holders = append(holders, users...)
@@ -836,7 +842,7 @@
 		}
 		if !bare && a.charge(hardWaiting, 1, holders...) {
 			e.out = !e.out
-			a.do(control.Suspend{Endpoint: e.id, Out: e.out, Why: e.whyOut()})
+			a.do(control.Suspend{Endpoint: e.id, Out: e.out, Bound: unbound == nil, Why: e.whyOut()})
 		}
 	}
 }
@@ -865,14 +871,19 @@
 	}
 }
 
+// due is the table where a proxy belongs.
+func (a *Assigner) due(p *proxy) *table {
+	if p.cell != nil {
+		return p.cell.table
+	}
+	return a.tables[len(a.tables)-1]
+}
+
 // bind puts proxies on the tables where they belong; those without a line to pick first.
 func (a *Assigner) bind(room float64) {
 	for _, p := range a.joined {
-		t := a.tables[len(a.tables)-1]
-		if p.cell != nil {
-			t = p.cell.table
-		}
-		later := room == hardWaiting && p.table != nil && a.serves(p.table, nil)
+		t := a.due(p)
+		later := room == hardWaiting && (p.table != nil && a.serves(p.table, nil) || p.table == nil && p.shuts)
 		if !p.placed || p.table == t || later || !a.serves(t, nil) {
 			continue
 		}
@@ -913,7 +924,9 @@
 			need += head
 		}
 	}
-	if need > 0 && a.waiting+need > room*a.facts.MostWaiting {
+	lane := swift * a.facts.DrainGrace.Seconds() * a.facts.LinesPerSecond
+	late := room < hardWaiting && lane > 0 && a.waiting > lane
+	if need > 0 && (late || a.waiting+need > room*a.facts.MostWaiting) {
 		a.held = true
 		return false
 	}
