--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -21,6 +21,7 @@
 	Unrun   bool // surely nothing of it was sent
 	Timeout bool
 	Gone    bool // given up by the caller
+	Stale   bool // the connection had been kept and ended before a byte of an answer: its server may have closed it unseen
 	Err     error
 }
 
@@ -53,6 +54,7 @@
 	parser *http1.Parser
 	server string
 	since  time.Time // idle since
+	kept   bool      // it has been idle
 }
 
 // errFull says that all connections to a server are in use.
@@ -151,9 +153,11 @@
 }
 
 func (p *Pool) exchange(call *Call, c *conn, req []byte, deadline time.Time, head bool) (*Answer, *Failure) {
+	answered := false
 	fail := func(err error) *Failure {
 		f := &Failure{Err: fmt.Errorf("%s: %w", c.server, err), Timeout: errors.Is(err, netpoll.ErrReadTimeout)}
 		f.Gone = call.given()
+		f.Stale = c.kept && !answered && !f.Timeout && !f.Gone
 		return f
 	}
 	left := time.Until(deadline)
@@ -172,7 +176,7 @@
 	r := c.nc.Reader()
 	for {
 		n := r.Len()
-		if n > 0 {
+		if answered = answered || n > 0; n > 0 {
 			b, err := r.Peek(n)
 			if err != nil {
 				return nil, fail(err)
@@ -200,7 +204,8 @@
 		}
 		_ = c.nc.SetReadTimeout(left)
 		if _, err := r.Peek(n + 1); err != nil {
-			if n = r.Len(); n > 0 && !errors.Is(err, netpoll.ErrReadTimeout) {
+			n = r.Len()
+			if answered = answered || n > 0; n > 0 && !errors.Is(err, netpoll.ErrReadTimeout) {
 				if b, perr := r.Peek(n); perr == nil {
 					if m, perr := c.parser.Parse(b, true); perr == nil {
 						return &Answer{Message: m, pool: p, conn: c}, nil
@@ -272,7 +277,7 @@
 		p.drop(s, c)
 		return
 	}
-	c.since = time.Now()
+	c.since, c.kept = time.Now(), true
 	s.idle = append(s.idle, c)
 }
 
