Sessions, streams, servers and the list service end in order too

The same fault as at a stop of a proxy, looked for elsewhere: a session's command whose second half came after the stop met a closed connection; the program node dropped what it had in hand; the list service and a pilot closed streams on a timer of 20 ms, whether or not what had been sent was written.

Why it holds: no end is on a timer that starts before the bytes are written. A proxy's sums and confirmations that come to a pilot which ends are dropped, as before: they are for that pilot alone, and no op depends on them.

--- a/lab/node/node.go
+++ b/lab/node/node.go
@@ -166,7 +166,7 @@
 	if n.up || n.fallen {
 		return nil
 	}
-	s := &serve.Server{Handle: n.handle, Open: n.open, Closed: n.closed, Net: n.Net}
+	s := &serve.Server{Handle: n.handle, Open: n.open, Closed: n.closed, Net: n.Net, Drain: keepIdle}
 	if err := s.Start(n.address); err != nil {
 		return err
 	}
@@ -180,6 +180,21 @@
 	return nil
 }
 
+// keepIdle is how long a process that ends in order keeps a connection on which no request comes.
+const keepIdle = time.Second
+
+// StopInOrder answers what is in hand and what still comes on open connections, until they have gone or the context ends;
+// then it ends the process.
+func (n *Node) StopInOrder(ctx context.Context) {
+	n.mu.Lock()
+	s := n.server
+	n.mu.Unlock()
+	if s != nil {
+		s.Stop(ctx)
+	}
+	n.Stop()
+}
+
 // Stop ends the process at once: connections break, work in hand is lost.
 func (n *Node) Stop() {
 	n.mu.Lock()
--- a/lab/node/node_test.go
+++ b/lab/node/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -198,3 +199,44 @@
 	}
 	n.conns, n.queue = 0, nil
 }
+
+// A server that ends in order answers what it has in hand, and a request that comes on an open connection after that.
+func TestStopInOrder(t *testing.T) {
+	n, _ := newNode(t, machine(), false)
+	inHand := make(chan int, 1)
+	go func() {
+		status, _ := send(t, n, 0, 300*time.Millisecond, "", ample)
+		inHand <- status
+	}()
+	open, err := net.Dial("tcp", n.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer open.Close()
+	_ = open.SetDeadline(time.Now().Add(ample))
+	busy := func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return len(n.running) > 0
+	}
+	for end := time.Now().Add(ample); !busy() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := make(chan struct{})
+	go func() { n.StopInOrder(context.Background()); close(stopped) }()
+	for {
+		c, err := net.DialTimeout("tcp", n.Address(), 50*time.Millisecond)
+		if err != nil {
+			break
+		}
+		c.Close()
+	}
+	_, _ = io.WriteString(open, "GET /probe HTTP/1.1\r\nHost: h\r\n\r\n")
+	if b, err := io.ReadAll(open); err != nil || !strings.HasPrefix(string(b), "HTTP/1.1 200 ") || !strings.Contains(string(b), "Connection: close\r\n") {
+		t.Errorf("%q, %v", b, err)
+	}
+	if status := <-inHand; status != 200 {
+		t.Errorf("in hand: %d", status)
+	}
+	<-stopped
+}
--- a/lab/roster/roster.go
+++ b/lab/roster/roster.go
@@ -62,7 +62,10 @@
 // Address is where it listens.
 func (s *Server) Address() string { return s.ln.Address() }
 
-// Close stops it.
+// Stop stops it once what it has told is written.
+func (s *Server) Stop() { s.ln.Stop() }
+
+// Close stops it at once.
 func (s *Server) Close() { s.ln.Close() }
 
 // Set puts entries on the list, or takes off those that are gone, and pushes the change.
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -211,7 +211,10 @@
 			close(ended)
 		}) {
 			<-ended
-			time.Sleep(20 * time.Millisecond)
+			p.ln.Stop()
+			if p.admin != nil {
+				p.admin.Stop()
+			}
 		}
 		p.end()
 		p.log.Info("pilot ended")
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -215,8 +215,9 @@
 // sent, then the stream closed. A second call shortens nothing.
 func (p *Proxy) Stop(ctx context.Context) { p.stopping.Do(func() { p.stop(ctx) }) }
 
-// StopWithin is how long Stop takes at most: idle connections are closed, then what came until then is answered in its time.
-func (p *Proxy) StopWithin() time.Duration {
+// answerWithin is how long a proxy that stops answers at most: idle connections are closed, and what came until then is
+// answered in its time.
+func (p *Proxy) answerWithin() time.Duration {
 	longest := time.Duration(0)
 	for i := range p.types {
 		longest = max(longest, p.types[i].OpTimeout)
@@ -225,7 +226,7 @@
 }
 
 func (p *Proxy) stop(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, p.StopWithin())
+	ctx, cancel := context.WithTimeout(ctx, p.answerWithin())
 	defer cancel()
 	p.server.Stop(ctx)
 	p.sendSums(time.Now())
@@ -233,7 +234,7 @@
 	p.cancel()
 	p.done.Wait()
 	if p.admin != nil {
-		p.admin.Close()
+		p.admin.Stop()
 	}
 	p.pool.Close()
 	p.keeper.close()
--- a/session/session.go
+++ b/session/session.go
@@ -10,7 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"vetchdoor/runtime"
@@ -29,6 +29,8 @@
 	ln       *stream.Listener
 	banner   string
 	commands []Command
+	open     atomic.Int64 // sessions
+	stopping atomic.Bool  // each session ends once its command is answered
 }
 
 // most sessions at a time, and how long one may say nothing
@@ -37,6 +39,9 @@
 	mostIdle     = 10 * time.Minute
 )
 
+// stopWithin bounds how long a stop waits for sessions that give no command.
+const stopWithin = time.Second
+
 // Listen serves commands at an address: unix:PATH, or HOST:PORT on a loopback address.
 func Listen(address, banner string, commands []Command) (*Listener, error) {
 	if host, _, err := net.SplitHostPort(address); err == nil && !strings.HasPrefix(address, "unix:") {
@@ -51,21 +56,13 @@
 func listen(over stream.Net, address, banner string, commands []Command) (*Listener, error) {
 	l := &Listener{banner: banner, commands: slices.Clone(commands)}
 	slices.SortFunc(l.commands, func(a, b Command) int { return strings.Compare(a.Words, b.Words) })
-	var mu sync.Mutex
-	open := 0
 	var err error
 	l.ln, err = stream.Listen(over, address, func(c *stream.Conn) stream.Handler {
-		mu.Lock()
-		defer mu.Unlock()
-		if open >= mostSessions {
+		if l.open.Add(1) > mostSessions {
+			l.open.Add(-1)
 			return nil
 		}
-		open++
-		return &conversation{l: l, scan: runtime.NewScanner(runtime.People), idle: time.AfterFunc(mostIdle, c.Close), closed: func() {
-			mu.Lock()
-			open--
-			mu.Unlock()
-		}}
+		return &conversation{l: l, scan: runtime.NewScanner(runtime.People), idle: time.AfterFunc(mostIdle, c.Close)}
 	})
 	return l, err
 }
@@ -73,7 +70,17 @@
 // Address is where it listens.
 func (l *Listener) Address() string { return l.ln.Address() }
 
-// Close ends all sessions.
+// Stop takes no new sessions and ends each there is once its command is answered, or has not come in time.
+func (l *Listener) Stop() {
+	l.stopping.Store(true)
+	l.ln.Refuse()
+	for end := time.Now().Add(stopWithin); l.open.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	l.ln.Close()
+}
+
+// Close ends all sessions at once.
 func (l *Listener) Close() { l.ln.Close() }
 
 // conversation is one connection.
@@ -83,12 +90,11 @@
 	interactive bool
 	done        bool
 	idle        *time.Timer // closes it
-	closed      func()
 }
 
 func (s *conversation) Closed(*stream.Conn) {
 	s.idle.Stop()
-	s.closed()
+	s.l.open.Add(-1)
 }
 
 func (s *conversation) Data(c *stream.Conn, b []byte) {
@@ -113,7 +119,7 @@
 		for _, cmd := range line {
 			_ = c.Send(s.answer(cmd))
 		}
-		if s.interactive && !s.done {
+		if s.interactive && !s.done && !s.l.stopping.Load() {
 			_ = c.Send([]byte("> "))
 		} else {
 			s.done = true
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -1,6 +1,10 @@
 package session
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,3 +62,44 @@
 		c.Close()
 	})
 }
+
+// A stop answered nothing that was not answered yet: a command whose second half came after it met a closed connection.
+// Sessions that stand when a program stops have their next command answered and end after it.
+func TestStopAnswersCommands(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", "test", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", l.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		return c
+	}
+	person, half := dial(), dial()
+	_, _ = io.WriteString(person, "prompt\n")
+	if _, err := bufio.NewReader(person).ReadString('>'); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(half, "he")
+	stopped := make(chan struct{})
+	go func() { l.Stop(); close(stopped) }()
+	for {
+		c, err := net.DialTimeout("tcp", l.Address(), 50*time.Millisecond)
+		if err != nil {
+			break
+		}
+		c.Close()
+	}
+	_, _ = io.WriteString(person, "help\n")
+	_, _ = io.WriteString(half, "lp\n")
+	for name, c := range map[string]net.Conn{"interactive": person, "in halves": half} {
+		if b, err := io.ReadAll(c); err != nil || !strings.Contains(string(b), "this text") {
+			t.Errorf("%s: %q, %v", name, b, err)
+		}
+	}
+	<-stopped
+}
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -7,8 +7,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -259,6 +261,29 @@
 // Address is where it listens.
 func (l *Listener) Address() string { return l.address }
 
+// Refuse takes no more connections. Those there are go on, those included that waited to be accepted.
+func (l *Listener) Refuse() { l.server.Refuse() }
+
+// Stop takes no more connections and ends each there is once what was sent to it is written, or its peer has not taken that
+// in time; then it closes.
+func (l *Listener) Stop() {
+	l.Refuse()
+	for _, c := range l.open() {
+		c.End()
+	}
+	for end := time.Now().Add(endWithin); len(l.open()) > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	l.Close()
+}
+
+// open are its connections.
+func (l *Listener) open() []*Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.conns))
+}
+
 // Close stops listening and closes all its connections.
 func (l *Listener) Close() {
 	l.mu.Lock()
