A part whose start failed can be stopped, and leaves nothing behind

Cause: Start had returned an error before the loop ran; Stop posted to that loop and waited for what nobody would carry out. A proxy whose start failed ended in a nil pointer. The start itself failed, as far as reading tells, because the laboratory took free ports, closed them and used them later; that part is suspected and was not seen in a trace.

Change: a failed start releases what it opened, and Stop and Kill do nothing then; host.Stop waits only for a loop that was begun; the same for platform, serve, session and the list service. The laboratory and the tests that need an address ahead use a loopback address of their own.

--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"vetchdoor/control"
 	"vetchdoor/files"
 	"vetchdoor/lab/link"
+	"vetchdoor/lab/loopback"
 	"vetchdoor/lab/node"
 	stand "vetchdoor/lab/roster"
 	"vetchdoor/pilot"
@@ -27,6 +29,7 @@
 
 // fleet is all the parts of a day, running in this process over loopback sockets.
 type fleet struct {
+	host       string // a loopback address of its own, so that who starts anew finds its port free
 	day        *files.Day
 	believed   files.Service // what pilots and proxies take the day's to be
 	log        *slog.Logger
@@ -83,7 +86,7 @@
 
 // newFleet builds and starts everything but the clients.
 func newFleet(day *files.Day, o *Options) (f *fleet, err error) {
-	f = &fleet{day: day, log: o.Log, rng: rand.New(rand.NewPCG(day.Seed, 2)), ledger: node.NewLedger(), born: time.Now(),
+	f = &fleet{day: day, log: o.Log, rng: rand.New(rand.NewPCG(day.Seed, 2)), ledger: node.NewLedger(), born: time.Now(), host: loopback.Host(),
 		stop: make(chan struct{}), wrap: o.faulty, believed: day.Service, records: o.Records}
 	if f.believed.OpTypes = slices.Clone(day.Service.OpTypes); o.believe != nil {
 		o.believe(&f.believed)
@@ -108,7 +111,7 @@
 		}
 		entries = append(entries, e)
 	}
-	if f.list, err = stand.Start("127.0.0.1:0", entries); err != nil {
+	if f.list, err = stand.Start(net.JoinHostPort(f.host, "0"), entries); err != nil {
 		return f, err
 	}
 	if err = f.startPilots(); err != nil {
@@ -156,7 +159,7 @@
 	var out []files.NodeAt
 	for i := range count {
 		zone := i % len(d.Service.Zones)
-		a := files.NodeAt{Listen: "127.0.0.1:0", Zone: d.Service.Zones[zone], Pack: i / len(d.Service.Zones) / size}
+		a := files.NodeAt{Listen: net.JoinHostPort(f.host, "0"), Zone: d.Service.Zones[zone], Pack: i / len(d.Service.Zones) / size}
 		for a.Endpoint = f.rng.Uint32(); used[a.Endpoint]; a.Endpoint = f.rng.Uint32() {
 		}
 		used[a.Endpoint] = true
@@ -207,25 +210,21 @@
 	}
 }
 
-// somePorts finds addresses for pilots that must know each other before any of them runs.
-func somePorts(n int) (out []string, err error) {
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer ln.Close()
-		out = append(out, ln.Addr().String())
+// firstPilotPort is the port of a fleet's first pilot. Pilots must know each other before any of them runs, and the host is the
+// fleet's own.
+const firstPilotPort = 7000
+
+// pilotAddresses are where the fleet's pilots listen.
+func (f *fleet) pilotAddresses() (out []string) {
+	for i := range f.day.Fleet.Pilots {
+		out = append(out, net.JoinHostPort(f.host, strconv.Itoa(firstPilotPort+i)))
 	}
-	return out, nil
+	return out
 }
 
 func (f *fleet) startPilots() error {
 	d := f.day
-	listen, err := somePorts(d.Fleet.Pilots)
-	if err != nil {
-		return err
-	}
+	listen := f.pilotAddresses()
 	for i := range d.Fleet.Pilots {
 		zone := i % len(d.Service.Zones)
 		if len(d.Fleet.PilotList) > 0 {
@@ -273,7 +272,7 @@
 		zone := f.proxyZone(i)
 		at := &proxyAt{zone: zone, seeds: d.Seed}
 		f.proxies = append(f.proxies, at)
-		at.file = &files.Proxy{Kind: "proxy", ID: uint16(i), Zone: d.Service.Zones[zone], Listen: "127.0.0.1:0",
+		at.file = &files.Proxy{Kind: "proxy", ID: uint16(i), Zone: d.Service.Zones[zone], Listen: net.JoinHostPort(f.host, "0"),
 			Rate: f.shares[i] * perSecond, Service: f.believed, Redial: files.Duration(400 * time.Millisecond),
 			Silent: files.Duration(4 * time.Second)}
 		if c := &d.Load.Tenants; c.Count > 0 {
--- a/lab/roster/roster.go
+++ b/lab/roster/roster.go
@@ -56,7 +56,10 @@
 		s.watchers[w] = true
 		return w
 	})
-	return s, err
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
 }
 
 // Address is where it listens.
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"vetchdoor/lab/loopback"
 )
 
 func key(b byte) string { return base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{b}, 32)) }
@@ -22,7 +24,7 @@
 func freePort(t *testing.T) string {
 	t.Helper()
 	for range 100 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", net.JoinHostPort(loopback.Host(), "0"))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/pilot/fleet_test.go
+++ b/pilot/fleet_test.go
@@ -15,6 +15,7 @@
 	"vetchdoor/control"
 	"vetchdoor/files"
 	"vetchdoor/fleet"
+	"vetchdoor/lab/loopback"
 	stand "vetchdoor/lab/roster"
 	"vetchdoor/members"
 	"vetchdoor/pilot/host"
@@ -173,7 +174,7 @@
 	}
 	gossip := func() string { // a port that both UDP and TCP have free
 		for {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			ln, err := net.Listen("tcp", net.JoinHostPort(loopback.Host(), "0"))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/pilot/host/host.go
+++ b/pilot/host/host.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +42,8 @@
 	inbox    chan func()
 	stop     chan struct{}
 	stopped  chan struct{}
+	ending   sync.Once
+	claimed  atomic.Bool  // by Run, or by Stop where Run was never called
 	inModule atomic.Int64 // when the module was last called, since born; 0: it came back
 
 	// What follows is the loop's own.
@@ -72,9 +75,15 @@
 func (h *Host) Stopping() <-chan struct{} { return h.stop }
 func (h *Host) Stopped() <-chan struct{}  { return h.stopped }
 
-// Stop ends the loop and waits for it. It is called once, after Run.
+// Stop ends the loop and waits for it. Where Run was never called, as after a start that failed, there is no loop to wait for,
+// and a later Run returns at once.
 func (h *Host) Stop() {
-	close(h.stop)
+	h.ending.Do(func() {
+		close(h.stop)
+		if h.claimed.CompareAndSwap(false, true) {
+			close(h.stopped)
+		}
+	})
 	<-h.stopped
 }
 
@@ -116,6 +125,9 @@
 
 // Run begins a module and runs the loop until Stop.
 func (h *Host) Run() {
+	if !h.claimed.CompareAndSwap(false, true) {
+		return
+	}
 	defer close(h.stopped)
 	h.batch = time.NewTimer(time.Hour)
 	defer h.batch.Stop()
--- a/pilot/host/host_test.go
+++ b/pilot/host/host_test.go
@@ -137,3 +137,14 @@
 		t.Errorf("%d panics, or a wake of the old module came", s.panicked)
 	}
 }
+
+// A loop that never ran is stopped without waiting for it, twice, and does not run after that.
+func TestStopWithoutRun(t *testing.T) {
+	h := New(control.Facts{}, 1, slog.New(slog.DiscardHandler))
+	h.Stop()
+	h.Stop()
+	h.Run()
+	if h.Post(func() {}) {
+		t.Error("it takes a post")
+	}
+}
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -119,14 +119,14 @@
 	return p, nil
 }
 
-// Start reads the cached list, listens for proxies and people, and follows the list service.
+// Start reads the cached list, listens for proxies and people, and follows the list service. If it fails nothing is left of
+// the pilot, and Stop and Kill do nothing.
 func (p *Pilot) Start() (err error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	defer func() {
-		if err != nil {
-			cancel()
-			p.closeAll()
+		if err != nil { // nothing runs that an end in order could be posted to
+			p.Kill()
 		}
 	}()
 	rng := rand.New(rand.NewPCG(p.host.Seed, uint64(p.file.Instance)))
@@ -200,6 +200,9 @@
 // Stop ends the pilot in order: no new proxies, streams closed once what left the channel is written.
 // Where there are other pilots its proxies are sent to them first, a few at a time.
 func (p *Pilot) Stop() {
+	if p.cancel == nil { // it was never started
+		return
+	}
 	p.ending.Do(func() {
 		p.leave()
 		p.cancel()
@@ -274,6 +277,9 @@
 
 // Kill ends the pilot as a killed process would: nothing is said, nothing written.
 func (p *Pilot) Kill() {
+	if p.cancel == nil {
+		return
+	}
 	p.ending.Do(func() {
 		p.cancel()
 		p.end()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -176,23 +176,22 @@
 	return lines, nil
 }
 
-// Start listens for clients and people and dials the pilots.
+// Start listens for clients and people and dials the pilots. If it fails nothing is left of the proxy, and Stop and Kill do
+// nothing.
 func (p *Proxy) Start() error {
-	ctx, cancel := context.WithCancel(context.Background())
-	p.cancel = cancel
 	p.pool.Net, p.server.Net = p.Net, p.Net
 	if err := p.server.Start(p.file.Listen); err != nil {
-		cancel()
 		return err
 	}
 	if p.file.Admin != "" {
 		var err error
 		if p.admin, err = session.Listen(p.file.Admin, "vetchdoor proxy", p.commands()); err != nil {
-			cancel()
-			p.server.Stop(context.Background())
+			p.closeServer()
 			return err
 		}
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
 	p.pushed = time.Now()
 	p.orders = newOrders(p)
 	p.keeper.start()
@@ -213,7 +212,12 @@
 // Stop ends it in order: no new connections; each request that comes on an open one answered, with the word that the
 // connection closes after it, until the clients have gone or have been idle for long, or the context ends; the last sums
 // sent, then the stream closed. A second call shortens nothing.
-func (p *Proxy) Stop(ctx context.Context) { p.stopping.Do(func() { p.stop(ctx) }) }
+func (p *Proxy) Stop(ctx context.Context) {
+	if p.cancel == nil { // it never ran
+		return
+	}
+	p.stopping.Do(func() { p.stop(ctx) })
+}
 
 // answerWithin is how long a proxy that stops answers at most: idle connections are closed, and what came until then is
 // answered in its time.
@@ -549,11 +553,12 @@
 
 // Kill ends it as a killed process would: connections break, nothing is said.
 func (p *Proxy) Kill() {
+	if p.cancel == nil {
+		return
+	}
 	p.cancel()
-	gone, cancel := context.WithCancel(context.Background())
-	cancel()
 	p.pool.Close()
-	p.server.Stop(gone)
+	p.closeServer()
 	p.done.Wait()
 	if p.admin != nil {
 		p.admin.Close()
@@ -561,6 +566,13 @@
 	p.keeper.close()
 }
 
+// closeServer breaks the clients' connections.
+func (p *Proxy) closeServer() {
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	p.server.Stop(gone)
+}
+
 // Connections is how many it has open to servers.
 func (p *Proxy) Connections() int64 { return p.pool.Open() }
 
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -257,7 +257,8 @@
 	return ln.Addr().String()
 }
 
-func start(t *testing.T, change func(*files.Proxy), origins ...string) *Proxy {
+// proxyFile is a proxy's file with servers in its standing table.
+func proxyFile(origins ...string) *files.Proxy {
 	ms := func(n int) files.Duration { return files.Duration(time.Duration(n) * time.Millisecond) }
 	f := &files.Proxy{Kind: "proxy", ID: 7, Zone: "z", Listen: "127.0.0.1:0", Pilots: []files.PilotAddress{{Address: "127.0.0.1:1", Zone: "z"}},
 		Service: files.Service{Zones: []string{"z"}, Bootstrap: 9, ReportEvery: ms(1000), UsualAgain: "once", OpTypes: []files.OpType{
@@ -267,6 +268,11 @@
 	for i, o := range origins {
 		f.Servers = append(f.Servers, files.StandingServer{Endpoint: uint32(i), Address: o, Zone: "z"})
 	}
+	return f
+}
+
+func start(t *testing.T, change func(*files.Proxy), origins ...string) *Proxy {
+	f := proxyFile(origins...)
 	if change != nil {
 		change(f)
 	}
--- /dev/null
+++ b/proxy/start_test.go
@@ -0,0 +1,61 @@
+package proxy
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"vetchdoor/files"
+	"vetchdoor/lab/loopback"
+)
+
+// A proxy whose start failed ended in a nil pointer when it was stopped, or waited for the writer of its bindings, which had
+// never begun. Each step of the start fails here in turn; the proxy is stopped twice and killed, and nothing is left of it.
+func TestStartFails(t *testing.T) {
+	at := loopback.Host()
+	taken, err := net.Listen("tcp", net.JoinHostPort(at, "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	listen := net.JoinHostPort(at, "7001")
+	for name, spoil := range map[string]func(f *files.Proxy){
+		"listen":            func(f *files.Proxy) { f.Listen = taken.Addr().String() },
+		"admin":             func(f *files.Proxy) { f.Admin = taken.Addr().String() },
+		"admin not allowed": func(f *files.Proxy) { f.Admin = "192.0.2.1:1" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := proxyFile("127.0.0.1:1")
+			f.Listen = listen
+			f.Tenants = &files.Tenants{Header: "X-Tenant", Subset: 1, Bindings: filepath.Join(t.TempDir(), "bindings")}
+			spoil(f)
+			p, err := New(f, slog.New(slog.DiscardHandler))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := p.Start(); err == nil {
+				t.Error("it started")
+			}
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				p.Stop(context.Background())
+				p.Stop(context.Background())
+				p.Kill()
+			}()
+			select {
+			case <-stopped:
+			case <-time.After(20 * time.Second):
+				t.Fatal("a proxy that could not start cannot be stopped")
+			}
+			ln, err := net.Listen("tcp", listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ln.Close()
+		})
+	}
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -337,6 +337,9 @@
 // Stop stops accepting and answers what comes on open connections, each with the word that it was the last there, until
 // the clients have gone or the context ends. Then it closes what is left. It may be called again, to end sooner.
 func (s *Server) Stop(ctx context.Context) {
+	if s.server == nil { // it does not listen
+		return
+	}
 	if s.stopping.CompareAndSwap(0, time.Now().UnixNano()) && ctx.Err() == nil {
 		s.server.Refuse()
 	}
--- a/session/session.go
+++ b/session/session.go
@@ -64,7 +64,10 @@
 		}
 		return &conversation{l: l, scan: runtime.NewScanner(runtime.People), idle: time.AfterFunc(mostIdle, c.Close)}
 	})
-	return l, err
+	if err != nil {
+		return nil, err
+	}
+	return l, nil
 }
 
 // Address is where it listens.
--- a/syslog/sender_test.go
+++ b/syslog/sender_test.go
@@ -21,6 +21,7 @@
 
 	"go.uber.org/goleak"
 
+	"vetchdoor/lab/loopback"
 	"vetchdoor/lab/receiver"
 )
 
@@ -129,15 +130,10 @@
 // With no receiver nobody waits: what there is no room for is dropped, the least grave first, counted to the record, and
 // told once records flow.
 func TestNoReceiver(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := ln.Addr().String()
-	ln.Close()
-	var s *Sender
+	address := net.JoinHostPort(loopback.Host(), "6514") // where nobody listens yet
 	told := make(chan [Debug + 1]uint64, 10)
-	if s, err = Start(Route{Network: "tcp", Address: address, Buffer: 100}, quiet, 1, func(d [Debug + 1]uint64, torn uint64) { told <- d }); err != nil {
+	s, err := Start(Route{Network: "tcp", Address: address, Buffer: 100}, quiet, 1, func(d [Debug + 1]uint64, torn uint64) { told <- d })
+	if err != nil {
 		t.Fatal(err)
 	}
 	defer s.Close()
@@ -264,12 +260,7 @@
 // Ten minutes of a thousand records a second, played in one go, stay within the memory and the spool that there is, and what
 // was spooled comes first and in order once the receiver is there.
 func TestLongOutage(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := ln.Addr().String()
-	ln.Close()
+	address := net.JoinHostPort(loopback.Host(), "6514") // where nobody listens yet
 	s := begin(t, Route{Network: "tcp", Address: address, Buffer: 1000, Spool: t.TempDir(), SpoolAt: 4 << 20})
 	const all = 600_000
 	for i := range all {
