Withdrawals go before new lines, which took the room that they needed

Cause: in each turn new lines were charged before withdrawals, at the same limit, and took what confirmations had freed. By a trace of 222 turns: gone and not withdrawn, its line told, 11,000 to 11,300 lines waiting of 11,340. Ruled out: a table that the module does not know of, a server forgotten early.

Change: withdrawals are looked at first. The scenario drain_in_growth fails without the change.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -788,6 +788,7 @@
 func (a *Assigner) push() {
 	a.held = false
 	if a.place(); a.facts.Slices == 0 && a.power > 0 {
+		a.withdraw() // before new lines, which would take what room there is: only withdrawals have a deadline
 		a.putLines(hardWaiting)
 		a.withdraw()
 		a.bind(hardWaiting)
