No op is tried again: further tries went to the cold server that still answered

Cause: proxies avoid what fails them, so a jammed cell's ops go to the one that still answers, and so does the further try that each op refused unrun was ordered. By a trace: line told at 9.66 s, the cell at 87 percent and 24 percent failing at 10.00 s, withdrawn in that turn, which is too late.

Change: Again is Never. Why it holds: what reaches a cold server is its cell's ops at most. The runner of the scenarios takes no other way of trying again for safe any more.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -903,7 +903,8 @@
 	}
 }
 
-// levels sends how much is let in; trying again only what surely never ran is safe for every op type.
+// levels sends how much is let in. No op is tried again: a further try goes to whoever still answers, and in
+// a jam that is a cell's cold server, which a whole cell's tries push over sooner than sums show it.
 func (a *Assigner) levels() {
 	for i := range a.ops {
 		op, level := &a.ops[i], a.level(i)
@@ -911,7 +912,7 @@
 			why := a.whyLevel(op.level, level)
 			op.level = level
 			a.do(control.SetLevel{Table: control.Everywhere, OpTypes: 1 << i, Level: level,
-				Again: control.IfUnrun, Why: why})
+				Again: control.Never, Why: why})
 		}
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -133,7 +133,7 @@
 					w.levels[k] = o
 				}
 			}
-			if o.Level < 0 || o.Again > control.IfUnrun {
+			if o.Level < 0 || o.Again != control.Never {
 				w.fail("unsafe %+v", o)
 			}
 			charge(0, true)
