A server that has just started stays out of its tables while an eighth of the tries fail

Cause: the bar for cold servers asks for a jam (load 80, a quarter failing), and the sums that show one are later than the seconds in which a server that has just started falls.

Change: in the first quarter of its warm-up, half of it where proxies avoid what fails them, a cold server stays out from an eighth of the tries failing on, while a warm one is left. Why it holds: in its most delicate seconds a server takes no part in a cell that fails; it enters as soon as that is calm. The scenario cold_young fails without the change.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -49,6 +49,8 @@
 	lost        = 0.9     // of the tries failing: nothing is lost by taking it out
 	wholly      = 0.95    // let in: what comes is free of repeats
 	failsMuch   = 0.12    // of all tries failing: distress
+	youngest    = 0.25    // of its warm-up: a cold server stays out while as many fail
+	youngAvoid  = 0.5     // the same where proxies avoid by themselves what fails them
 	leastTries  = 4       // before failing means anything
 	easeStep    = 0.6     // the most that one easing leaves
 	setpoint    = 0.85    // of what the servers can do is let in; and what one trim leaves
@@ -453,7 +455,7 @@
 	for _, c := range a.cells {
 		a.failing = min(a.failing, c.met.mean())
 		c.jammed = a.facts.OutlierAfter > 0 &&
-			(c.heard == 0 || c.load >= busy || max(c.met.mean(), a.met.mean()) > sickMargin)
+			(c.heard == 0 || c.load >= busy || a.pressed(c) > sickMargin)
 	}
 	for _, e := range a.listed {
 		if !e.usable() || e.tries < leastTries {
@@ -724,16 +726,28 @@
 	return math.Round(50*min(1, max(leastLevel, share))) / 50
 }
 
-// want is the weight that a table should give a server. A cold one is kept out while its cell is jammed, for
-// where proxies avoid what fails them, one server that still answers gets their whole burst.
+// want is the weight that a table should give a server.
 func (a *Assigner) want(t *table, e *endpoint) float64 {
-	if e.mode != control.Ready || t.cell != nil && t.cell != e.cell ||
-		a.cold(e) < 1 && e.cell.jammed && a.serves(t, e) {
+	if e.mode != control.Ready || t.cell != nil && t.cell != e.cell || a.barred(e) && a.serves(t, e) {
 		return 0
 	}
 	return e.weight * a.fit(e)
 }
 
+// barred tells whether a cold server is kept out while a warm one is left: while its cell is jammed, since
+// where proxies avoid what fails them, one that still answers gets their whole burst; and while it is young
+// (for longer in such places) also as soon as many tries fail.
+func (a *Assigner) barred(e *endpoint) bool {
+	young := youngest
+	if a.facts.OutlierAfter > 0 {
+		young = youngAvoid
+	}
+	return a.cold(e) < 1 && e.cell.jammed || a.cold(e) < young && a.pressed(e.cell) > failsMuch
+}
+
+// pressed is the share of tries that fails in a cell, or in the fleet if that is more.
+func (a *Assigner) pressed(c *cell) float64 { return max(c.met.mean(), a.met.mean()) }
+
 // whyLine is why a server's line is put at a weight, after the one that was told.
 func (a *Assigner) whyLine(e *endpoint, told, want float64) control.Why {
 	switch {
@@ -741,8 +755,10 @@
 		return control.Why{Reason: control.Unlisted}
 	case e.mode == control.Draining:
 		return control.Why{Reason: control.Drains}
-	case want == 0:
+	case want == 0 && e.cell.jammed:
 		return control.Why{Reason: control.Jammed, Value: e.cell.load, Limit: busy}
+	case want == 0:
+		return control.Why{Reason: control.Failing, Value: a.pressed(e.cell), Limit: failsMuch}
 	case a.cold(e) < 1:
 		return control.Why{Reason: control.Warming, Value: a.cold(e), Limit: 1}
 	case e.ease < 1 && want < told:
