Proxies that return are bound before new lines, since withdrawals reach them so alone

Cause: withdrawals go to bound proxies alone while a herd can be bound, and binds waited behind lines of started servers, by the log of the pilot that the herd came to: drains at 17.31 s, binds until 20.8 s, 197 new lines in between.

Change: while proxies return their binds go before new lines, which wait; what can be put off may take 0.4 of the drains' grace. Why it holds: a bind that carries withdrawals has their deadline and now their place in the turn.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,7 +39,7 @@
 	awayLags    = 10      // a proxy whose stream broke counts this long
 	softWaiting = 0.4     // of what may wait: orders that can be put off keep under it
 	hardWaiting = 0.9     // of what may wait: no order goes past it
-	swift       = 0.25    // of the drains' grace: while all that waits takes longer, what can be put off is
+	swift       = 0.4     // of the drains' grace: while all that waits takes longer, what can be put off is
 	smoothing   = 0.4     // the newest sum's part in a running mean
 	steady      = 20.0    // tries that weigh as much as all before them
 	unhurried   = 0.15    // of the target latency: how long an op takes on an idle server
@@ -805,6 +805,9 @@
 	a.held = false
 	if a.place(); a.facts.Slices == 0 && a.power > 0 {
 		a.withdraw() // before new lines, which would take what room there is: only withdrawals have a deadline
+		if a.returning() {
+			a.bind(softWaiting)
+		}
 		a.putLines(hardWaiting)
 		a.withdraw()
 		a.bind(hardWaiting)
@@ -825,6 +828,12 @@
 	}
 }
 
+// returning tells whether proxies wait to be bound that hold tables of an earlier stream. Withdrawals reach
+// them with their bind alone, which so has a deadline as a withdrawal has: it goes before new lines.
+func (a *Assigner) returning() bool {
+	return slices.ContainsFunc(a.joined, func(p *proxy) bool { return p.placed && p.shuts && p.table == nil })
+}
+
 // users are the joined proxies on a table; on none: on their standing ones.
 func (a *Assigner) users(t *table) []*proxy {
 	return slices.DeleteFunc(slices.Clone(a.joined), func(p *proxy) bool { return p.table != t })
@@ -867,6 +876,7 @@
 // putLines brings the lines of tables in use up to date, new lines and falling weights at once. A line goes
 // only once its server is withdrawn, so that no table runs empty on the way.
 func (a *Assigner) putLines(room float64) {
+	returning := room == hardWaiting && a.returning()
 	for _, t := range a.tables {
 		users := a.users(t)
 		wanted := slices.ContainsFunc(a.joined, func(p *proxy) bool { return p.placed && p.cell == t.cell })
@@ -874,7 +884,7 @@
 			want, told := a.want(t, e), e.told[t.id]
 			gone := want == 0 && !e.usable()
 			later := told != 0 && room == hardWaiting && (gone || want > told) || len(users) == 0 && !wanted
-			later = later || e.sick && told > 0 || gone && !e.out && len(users) > 0
+			later = later || returning && told == 0 || e.sick && told > 0 || gone && !e.out && len(users) > 0
 			lines := 1.0
 			if told == 0 && a.facts.KeepsShut {
 				lines++ // that it is withdrawn, or not, is sent along
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -18,7 +18,7 @@
 
 // A scenario is a text file: what is given, what happens, what is expected; one statement a line, # for comments.
 //
-//	given waiting=300 cap=5     start settings that differ from those below
+//	given waiting=300 cap=5     start settings that differ from those below; shut=1: proxies keep what they shut out
 //	list 1/0 2/1:drain@5*2      the whole list: id/zone, then mode, time of start and weight where they matter
 //	change 2/1:gone             changes to it
 //	join 7/0 12 8/1 3           proxies, their zones and usual ops a second; also: leave 7
@@ -239,6 +239,8 @@
 			"proxies": &w.facts.Proxies, "slices": &w.facts.Slices}[key]
 		if key == "waiting" {
 			w.facts.MostWaiting = v
+		} else if key == "shut" {
+			w.facts.KeepsShut = v > 0
 		} else if count == nil {
 			w.fail("unknown setting")
 		} else {
