A stop waits for connections that no descriptor was there to accept

Seen by reading, while the soak's crowd was written: a proxy out of descriptors has made connections that wait to be accepted; a stop gave them one second and then reset them, requests in them and all, although idle connections free descriptors after two.

Change: refusing ends with the context of the stop, not after a second of its own. Why it holds: new connections are filtered out from the first moment, so what waits only shrinks, and idle connections close meanwhile.

--- a/lab/link/memory.go
+++ b/lab/link/memory.go
@@ -152,7 +152,7 @@
 func (s *memoryServer) Address() string { return s.address }
 
 // Refuse takes no more.
-func (s *memoryServer) Refuse() {
+func (s *memoryServer) Refuse(context.Context) {
 	s.m.mu.Lock()
 	defer s.m.mu.Unlock()
 	if s.m.serves[s.address] == s {
@@ -161,8 +161,8 @@
 }
 
 // Stop takes no more and closes what is idle, as netpoll's loop does.
-func (s *memoryServer) Stop(context.Context) {
-	s.Refuse()
+func (s *memoryServer) Stop(ctx context.Context) {
+	s.Refuse(ctx)
 	s.mu.Lock()
 	var idle []*memoryEnd
 	for e := range s.ends {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -341,7 +341,7 @@
 		return
 	}
 	if s.stopping.CompareAndSwap(0, time.Now().UnixNano()) && ctx.Err() == nil {
-		s.server.Refuse()
+		s.server.Refuse(ctx)
 	}
 	for s.open() > 0 && ctx.Err() == nil && !s.ended() {
 		time.Sleep(2 * time.Millisecond)
--- a/session/session.go
+++ b/session/session.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -76,8 +77,10 @@
 // Stop takes no new sessions and ends each there is once its command is answered, or has not come in time.
 func (l *Listener) Stop() {
 	l.stopping.Store(true)
-	l.ln.Refuse()
-	for end := time.Now().Add(stopWithin); l.open.Load() > 0 && time.Now().Before(end); {
+	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	l.ln.Refuse(ctx)
+	for l.open.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(time.Millisecond)
 	}
 	l.ln.Close()
--- a/stream/listener.go
+++ b/stream/listener.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -86,13 +87,14 @@
 	return a, nil
 }
 
-// acceptRest makes no new connections any more and waits until those that are made have been accepted.
-func (l *listener) acceptRest(within time.Duration) {
+// acceptRest makes no new connections any more and waits until those that are made have been accepted, which takes as long as
+// others hold all descriptors.
+func (l *listener) acceptRest(ctx context.Context) {
 	dropAll := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
 	program := unix.SockFprog{Len: uint16(len(dropAll)), Filter: &dropAll[0]}
 	// Where the system has no such filter, a connection that comes in the instant between the last look and shut is reset.
 	_ = unix.SetsockoptSockFprog(l.fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
-	for end := time.Now().Add(within); l.waiting() && time.Now().Before(end); {
+	for l.waiting() && ctx.Err() == nil {
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/stream/net.go
+++ b/stream/net.go
@@ -28,8 +28,9 @@
 type Server interface {
 	Address() string
 
-	// Refuse accepts no more. Connections go on, those included that had been made and waited to be accepted.
-	Refuse()
+	// Refuse accepts no more. Connections go on, those included that had been made and waited to be accepted; it returns
+	// once these were, or the context has ended.
+	Refuse(ctx context.Context)
 
 	// Stop accepts no more; connections that are idle close, others are waited for until the context ends.
 	Stop(ctx context.Context)
@@ -96,14 +97,13 @@
 
 func (s *socketServer) Address() string { return s.address }
 
-// refuseWithin bounds the time in which connections that wait are accepted, as where descriptors have run out, and the time
-// in which the loop lets go of its listener.
+// refuseWithin bounds the time in which the loop lets go of its listener.
 const refuseWithin = time.Second
 
 // Refuse shuts the listening socket down, which the loop takes for its end; it does not look at its connections then, as it
 // does when it is itself shut down.
-func (s *socketServer) Refuse() {
-	s.ln.acceptRest(refuseWithin)
+func (s *socketServer) Refuse(ctx context.Context) {
+	s.ln.acceptRest(ctx)
 	s.ln.shut()
 	select {
 	case <-s.done:
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -261,13 +261,16 @@
 // Address is where it listens.
 func (l *Listener) Address() string { return l.address }
 
-// Refuse takes no more connections. Those there are go on, those included that waited to be accepted.
-func (l *Listener) Refuse() { l.server.Refuse() }
+// Refuse takes no more connections. Those there are go on, those included that waited to be accepted and could be by the end
+// of the context.
+func (l *Listener) Refuse(ctx context.Context) { l.server.Refuse(ctx) }
 
 // Stop takes no more connections and ends each there is once what was sent to it is written, or its peer has not taken that
 // in time; then it closes.
 func (l *Listener) Stop() {
-	l.Refuse()
+	ctx, cancel := context.WithTimeout(context.Background(), refuseWithin)
+	defer cancel()
+	l.Refuse(ctx)
 	for _, c := range l.open() {
 		c.End()
 	}
