A pilot lets go of servers that are gone, once nothing names them

Cause: an entry that is gone stays for its address, which withdrawals and late sums need, and nothing ended that.

Change: 30 s after it was last listed, an entry goes that no table names and that is not withdrawn.

--- a/pilot/book.go
+++ b/pilot/book.go
@@ -354,6 +354,19 @@
 	}
 }
 
+// free tells whether nothing that was ordered names an endpoint any more.
+func (b *book) free(e control.EndpointID) bool {
+	if b.out[e] {
+		return false
+	}
+	for _, t := range b.tables {
+		if t.lines[e] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // moved writes endpoints' new places to all who hold them in a table, one message each.
 func (b *book) moved(endpoints []control.EndpointID) (messages []outgoing) {
 	joined := b.sorted()
--- a/pilot/list.go
+++ b/pilot/list.go
@@ -90,6 +90,29 @@
 	p.pump()
 }
 
+// keepFor is how long an endpoint is kept that is gone: sums of it come late, and one that restarts may be gone meanwhile.
+const keepFor = 30 * time.Second
+
+// forget lets go of endpoints that the list names no more, once no table names them and none is withdrawn: a pilot that
+// follows releases for months would else keep every endpoint that ever was.
+func (p *Pilot) forget() {
+	for id, e := range p.list {
+		if e.Mode != "gone" {
+			delete(p.goneAt, id)
+			continue
+		}
+		since, noted := p.goneAt[id]
+		switch {
+		case !noted:
+			p.goneAt[id] = p.host.Now()
+		case p.host.Now()-since > p.keep && p.book.free(id):
+			delete(p.goneAt, id)
+			delete(p.list, id)
+			delete(p.moving, id)
+		}
+	}
+}
+
 // sortedList is the list as known, by endpoint.
 func (p *Pilot) sortedList() []roster.Entry {
 	out := make([]roster.Entry, 0, len(p.list))
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -82,9 +82,11 @@
 	wires        map[*wire]bool
 	numbers      map[control.ProxyID]uint64 // last message of this run, of proxies that left
 	list         map[control.EndpointID]roster.Entry
-	moving       map[control.EndpointID]bool // whose new place proxies are yet to be told
-	readdressed  time.Time                   // when they were last told of such
-	waits        bool                        // they are to be, later
+	goneAt       map[control.EndpointID]time.Duration // since when the list has an endpoint as gone
+	keep         time.Duration                        // keepFor
+	moving       map[control.EndpointID]bool          // whose new place proxies are yet to be told
+	readdressed  time.Time                            // when they were last told of such
+	waits        bool                                 // they are to be, later
 	version      uint64
 	source       *roster.Client
 	saver        *saver
@@ -104,7 +106,7 @@
 		seed = rand.Uint64()
 	}
 	p := &Pilot{file: file, log: log.With("pilot", file.Name),
-		list: map[control.EndpointID]roster.Entry{}, wires: map[*wire]bool{}, moving: map[control.EndpointID]bool{},
+		list: map[control.EndpointID]roster.Entry{}, goneAt: map[control.EndpointID]time.Duration{}, keep: keepFor, wires: map[*wire]bool{}, moving: map[control.EndpointID]bool{},
 		silent: file.Silent.Span(), resumeWithin: file.Resume.Span(), probes: &upstream.Pool{}}
 	p.host = host.New(file.Facts(), seed, p.log)
 	p.host.Front, p.facts = p, p.host.Facts
--- a/pilot/streams.go
+++ b/pilot/streams.go
@@ -360,6 +360,7 @@
 // watch closes streams that say nothing and pings the others.
 func (p *Pilot) watch() {
 	p.records.look()
+	p.forget()
 	p.tellMembers()
 	for w := range p.wires {
 		quiet := time.Since(w.last)
