A seeded soak of stops: real processes, signals in series, and what clients saw of it

Need: nothing played the built program under signals while clients used their connections.

Change: TestSoak starts a list service, two pilots, two proxies and a pilot on the platform as processes at addresses of their own, beside four servers whose ledger tells what was carried out. Clients keep their connections in use, some requests in pieces; a third of the runs has a crowd at a limit of 128 descriptors. SIGTERM twice, SIGHUP before, after and there and back, SIGTERM and SIGHUP during the start, several at once, rolling through all; pilots are killed 0.7 s after SIGTERM. Checked: a whole answer for each request written, no write twice, acked is carried out, drains kept and nobody bare once all is calm, no overflow at a pilot, ends and starts within what the pages state, descriptors and files.

--- a/cmd/vetchdoor/signals_test.go
+++ b/cmd/vetchdoor/signals_test.go
@@ -56,21 +56,32 @@
 func awaitHangup(t *testing.T, pid int) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
-		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, mask := range []string{"SigIgn:", "SigCgt:"} {
-			_, rest, _ := strings.Cut(string(status), mask)
-			bits, err := strconv.ParseUint(strings.Fields(rest)[0], 16, 64)
-			if err == nil && bits&1 != 0 {
-				return
-			}
+		if takesHangup(pid) {
+			return
 		}
 	}
 	t.Fatal("SIGHUP would still end it")
 }
 
+// takesHangup tells whether a process ignores or catches SIGHUP.
+func takesHangup(pid int) bool {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return false
+	}
+	for _, mask := range []string{"SigIgn:", "SigCgt:"} {
+		_, rest, found := strings.Cut(string(status), mask)
+		fields := strings.Fields(rest)
+		if !found || len(fields) == 0 {
+			continue
+		}
+		if bits, err := strconv.ParseUint(fields[0], 16, 64); err == nil && bits&1 != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // A tool that stands for a person ends as its terminal closes.
 func TestHangupEndsATool(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "some.log")
--- /dev/null
+++ b/cmd/vetchdoor/soak_parts_test.go
@@ -0,0 +1,363 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"vetchdoor/files"
+	"vetchdoor/lab/node"
+	"vetchdoor/lab/platform"
+)
+
+// Stated figures that the soak holds the parts to.
+const (
+	opTimeout       = time.Second
+	drainGrace      = 2 * time.Second
+	proxyEndsWithin = 2*time.Second + opTimeout + 3*time.Second // operating.md
+	partEndsWithin  = 6 * time.Second                           // of a list service, and of a pilot that is not killed
+	pilotKilledAt   = 700 * time.Millisecond                    // after SIGTERM, the earliest that the platform kills
+	readyWithin     = 10 * time.Second
+	mostDescriptors = 96 // of a part with 16 clients, 2 pilots and 4 servers
+)
+
+// Of a run with a crowd.
+const (
+	crowdConnections = 60  // to each proxy
+	descriptorLimit  = 128 // of each proxy
+)
+
+// soakService is what is served in the soak.
+func soakService() object {
+	return object{"zones": []string{"z"}, "report_every": "100ms", "bootstrap": 4, "measures": []string{"cpu_utilization"}, "op_types": []object{
+		{"name": "read", "match": object{"method": "GET"}, "target_latency": "500ms", "op_timeout": opTimeout.String(), "revenue": 1, "repeat": "retryable"},
+		{"name": "write", "match": object{"method": "POST"}, "target_latency": "500ms", "op_timeout": opTimeout.String(), "revenue": 2, "repeat": "once-only", "writes": true}}}
+}
+
+func soakLimits() object {
+	return object{"empty_for": "2s", "drain_grace": drainGrace.String(), "cold_for": "1s", "cold_share": 0.5, "overload_factor": 4, "fall_after": "2s"}
+}
+
+// decode reads an object as the program reads it from a file.
+func decode(from object, to any) error {
+	b, err := json.Marshal(from)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(b, to)
+}
+
+// startNodes starts four servers in this process, whose ledger tells what was carried out.
+func (s *soak) startNodes() {
+	var service files.Service
+	var limits files.Limits
+	if err := decode(soakService(), &service); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := decode(soakLimits(), &limits); err != nil {
+		s.t.Fatal(err)
+	}
+	s.ledger = node.NewLedger()
+	machine := files.Machine{Name: "m", Cores: 4, Speed: [2]float64{1, 1}, Slots: 32, Queue: 64, Connections: 500, ColdShare: 0.5, ColdFor: files.Duration(time.Second)}
+	for i := range 4 {
+		n := node.New(files.NodeAt{Endpoint: uint32(1 + i), Listen: net.JoinHostPort(s.host, fmt.Sprint(7101+i)), Zone: "z"}, machine, &service, limits, s.seed, s.ledger)
+		if err := n.Start(false); err != nil {
+			s.t.Fatal(err)
+		}
+		s.nodes = append(s.nodes, n)
+	}
+}
+
+// entries are the servers as the list shows them, all ready.
+func (s *soak) entries() (out []object) {
+	for _, n := range s.nodes {
+		out = append(out, object{"endpoint": n.Endpoint(), "address": n.Address(), "zone": "z"})
+	}
+	return out
+}
+
+// setMode has the list show a server so.
+func (s *soak) setMode(i int, mode string) {
+	s.list["entries"].([]object)[i]["mode"] = mode
+	write(s.t, filepath.Join(s.dir, "roster.json"), s.list)
+}
+
+func (s *soak) at(port int) string { return net.JoinHostPort(s.host, fmt.Sprint(port)) }
+
+// startProcesses starts the list service, two pilots, two proxies, and a pilot on the platform.
+func (s *soak) startProcesses() {
+	s.list = object{"kind": "roster", "listen": s.at(7000), "zones": []string{"z"}, "entries": s.entries()}
+	s.roster = s.launch("roster", "roster", s.at(7000), partEndsWithin, s.list)
+	var streams []object
+	for i := range 2 {
+		name, at := fmt.Sprint("pilot-", i), s.at(7010+i)
+		streams = append(streams, object{"address": at, "zone": "z"})
+		p := s.launch(name, "pilot", at, partEndsWithin, object{"kind": "pilot", "name": name, "zone": "z", "instance": i, "instances": 2, "proxies": 2, "listen": at,
+			"roster": s.at(7000), "admin": "unix:" + filepath.Join(s.dir, name+".sock"), "cache": filepath.Join(s.dir, name+"-list.json"), "leave_within": "300ms",
+			"peers":   []object{{"instance": 1 - i, "address": s.at(7010 + 1 - i)}},
+			"service": soakService(), "limits": soakLimits(), "channel": object{"lines_per_second": 2000, "message_lines": 3, "most_waiting": 2000, "report_lines_per_second": 1000}})
+		p.killedAt = pilotKilledAt
+		s.pilots = append(s.pilots, p)
+	}
+	for i := range 2 {
+		at := s.at(7020 + i)
+		s.proxies = append(s.proxies, s.launch(fmt.Sprint("proxy-", i), "proxy", at, proxyEndsWithin, object{"kind": "proxy", "id": i, "zone": "z", "listen": at, "rate": 300,
+			"redial": "100ms", "service": soakService(), "servers": s.entries(), "pilots": streams}))
+	}
+	var list []platform.Instance
+	for i := range 4 {
+		list = append(list, platform.Instance{ID: fmt.Sprint("s-", i), HostPort: "127.0.0.1:9", Zone: string(rune('a' + i%2)), Machine: "m", Lifecycle: "up", Weight: 1})
+	}
+	var err error
+	if s.discovery, err = platform.Discover(list...); err != nil {
+		s.t.Fatal(err)
+	}
+	at := s.at(7030)
+	s.platform = s.launch("platform", "platform", at, partEndsWithin, object{"name": "n0", "listen": at, "discovery": s.discovery.Address(), "seed": "8c1f30d27a5be964",
+		"known": s.discovery.Known(), "limits": object{"cores": 0.5, "memory_mb": 64, "sockets": 256}, "settings": json.RawMessage(platformSettings)})
+	s.platform.killedAt = pilotKilledAt
+}
+
+// process is one part as a program; it is started again and again at its address.
+type process struct {
+	s          *soak
+	name, kind string
+	path       string
+	address    string
+	endsWithin time.Duration // after SIGTERM, by its page
+	killedAt   time.Duration // it is killed so long after SIGTERM, if not 0
+
+	mu     sync.Mutex
+	runs   int
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	termed time.Time
+	early  bool // SIGTERM may have come before the program took signals
+	killed bool
+}
+
+// launch writes a part's file and starts it.
+func (s *soak) launch(name, kind, address string, endsWithin time.Duration, file object) *process {
+	p := &process{s: s, name: name, kind: kind, path: filepath.Join(s.dir, name+".json"), address: address, endsWithin: endsWithin}
+	write(s.t, p.path, file)
+	p.start()
+	return p
+}
+
+func (p *process) start() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runs++
+	log, err := os.Create(filepath.Join(p.s.dir, fmt.Sprintf("%s-%d.log", p.name, p.runs)))
+	if err != nil {
+		p.s.failf("%v", err)
+		return
+	}
+	defer log.Close()
+	p.cmd = program(p.kind, "--file", p.path)
+	if p.kind == "proxy" { // the shell sets the limit and becomes the program
+		args := append([]string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, descriptorLimit)}, p.cmd.Args...)
+		shell := exec.Command("/bin/sh", args...)
+		shell.Env = p.cmd.Env
+		p.cmd = shell
+	}
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.termed, p.early, p.killed, p.ended = time.Time{}, false, false, make(chan struct{})
+	if err := p.cmd.Start(); err != nil {
+		p.s.failf("%s: %v", p.name, err)
+		close(p.ended)
+		return
+	}
+	go func(cmd *exec.Cmd, ended chan struct{}) {
+		_ = cmd.Wait()
+		close(ended)
+	}(p.cmd, p.ended)
+}
+
+// isReady tells whether the part answers at its address: a pilot on the platform a sign of life, any other a dial.
+func (p *process) isReady() bool {
+	if p.kind != "platform" {
+		c, err := net.DialTimeout("tcp", p.address, time.Second)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	}
+	peer, err := platform.Dial(p.address)
+	if err != nil {
+		return false
+	}
+	defer peer.Close()
+	o, err := func() (platform.Order, error) { _ = peer.Say(`{"msg":"hb"}`); return peer.Hear(time.Second) }()
+	return err == nil && o.Msg == "hb_ok"
+}
+
+func (p *process) awaitReady() {
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if p.isReady() {
+			return
+		}
+		select {
+		case <-p.ended:
+			p.s.failf("%s ended as it started: %v", p.name, p.cmd.ProcessState)
+			return
+		default:
+		}
+	}
+	p.s.failf("%s is not ready %v after its start", p.name, readyWithin)
+}
+
+// awaitSignals waits until the program takes SIGHUP; before, the system answers it.
+func (p *process) awaitSignals() {
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		b, err := os.ReadFile(fmt.Sprintf("/proc/%d/cmdline", p.cmd.Process.Pid))
+		if err != nil {
+			return
+		}
+		if !bytes.HasPrefix(b, []byte("/bin/sh")) && takesHangup(p.cmd.Process.Pid) {
+			return
+		}
+	}
+}
+
+func (p *process) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
+
+func (p *process) terminate() {
+	if p.termed.IsZero() {
+		p.termed = time.Now()
+	}
+	p.signal(syscall.SIGTERM)
+}
+
+func (p *process) kill() {
+	if p == nil || p.cmd == nil || p.cmd.Process == nil {
+		return
+	}
+	p.killed = true
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// awaitEnd waits for the end of a part that was told to end, and looks at how it ended.
+func (p *process) awaitEnd() {
+	within := p.endsWithin
+	if p.killedAt > 0 {
+		within = p.killedAt
+	}
+	select {
+	case <-p.ended:
+	case <-time.After(time.Until(p.termed.Add(within))):
+		if p.killedAt == 0 {
+			p.s.failf("%s has not ended %v after SIGTERM", p.name, within)
+		}
+		p.kill()
+		return
+	}
+	status, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus)
+	byTerm := ok && status.Signaled() && status.Signal() == syscall.SIGTERM && p.early
+	if p.cmd.ProcessState.ExitCode() != exitGood && !byTerm {
+		p.s.failf("%s ended with %v", p.name, p.cmd.ProcessState)
+	}
+}
+
+// restart starts a part again and waits until it is ready.
+func (p *process) restart() {
+	p.start()
+	p.awaitReady()
+}
+
+// descriptors is how many it holds open.
+func (p *process) descriptors() int {
+	d, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		p.s.failf("%s: %v", p.name, err)
+	}
+	return len(d)
+}
+
+// step does one thing of the script to one part, or to several at once.
+func (s *soak) step() {
+	parts := s.all()
+	s.rng.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+	count := 1
+	if s.rng.IntN(3) == 0 {
+		count += 1 + s.rng.IntN(2)
+	}
+	manner, gap := s.rng.IntN(6), time.Duration(s.rng.IntN(20_000))*time.Microsecond
+	if s.rng.IntN(8) == 0 { // roll through all
+		for _, p := range parts {
+			s.disturb(p, manner, gap)
+		}
+		return
+	}
+	var all sync.WaitGroup
+	for _, p := range parts[:count] {
+		all.Go(func() { s.disturb(p, manner, gap) })
+	}
+	if s.rng.IntN(4) == 0 { // a server is replaced meanwhile
+		n := s.nodes[1+s.rng.IntN(len(s.nodes)-1)]
+		all.Go(func() { s.replaceNode(n) })
+	}
+	all.Wait()
+}
+
+// disturb sends a part a series of signals.
+func (s *soak) disturb(p *process, manner int, gap time.Duration) {
+	switch manner {
+	case 0: // SIGHUP there and back, and it goes on
+		for range 4 {
+			p.signal(syscall.SIGHUP)
+			time.Sleep(gap / 4)
+		}
+		return
+	case 1: // SIGTERM twice
+		p.terminate()
+		time.Sleep(gap)
+		p.terminate()
+	case 2: // SIGHUP, then SIGTERM
+		p.signal(syscall.SIGHUP)
+		time.Sleep(gap / 4)
+		p.terminate()
+	case 3: // SIGTERM, then SIGHUP
+		p.terminate()
+		time.Sleep(gap)
+		p.signal(syscall.SIGHUP)
+	case 4: // SIGTERM during the start that follows
+		p.terminate()
+		p.awaitEnd()
+		p.start()
+		time.Sleep(gap)
+		p.early = true
+		p.terminate()
+	case 5: // a series of SIGHUP during the start that follows, then SIGTERM
+		p.terminate()
+		p.awaitEnd()
+		p.start()
+		p.awaitSignals()
+		for range 6 {
+			p.signal(syscall.SIGHUP)
+		}
+		p.early = true
+		p.terminate()
+	}
+	p.awaitEnd()
+	p.restart()
+}
+
+// replaceNode ends a server in order and starts it again, cold.
+func (s *soak) replaceNode(n *node.Node) {
+	ctx, cancel := context.WithTimeout(context.Background(), opTimeout+time.Second)
+	defer cancel()
+	n.StopInOrder(ctx)
+	if err := n.Start(true); err != nil {
+		s.failf("server %d: %v", n.Endpoint(), err)
+	}
+}
