--- a/pilot/moves.go
+++ b/pilot/moves.go
@@ -331,7 +331,7 @@
 
 func (p *Pilot) setTenant(w io.Writer, words []string) error {
 	if len(words) < 5 || words[3] != "subset" {
-		return fmt.Errorf("set tenant NAME subset home|draw N|size N|pods ZONE.PACK,...")
+		return fmt.Errorf("set tenant NAME subset home|draw N|size N|pods ZONE.PACK[,ZONE.PACK]")
 	}
 	return p.askFor(words[2], words[4:], false, false)
 }
--- a/roster/client.go
+++ b/roster/client.go
@@ -49,7 +49,8 @@
 			c.mu.Lock()
 			c.conn = nil
 			c.mu.Unlock()
-			s.busy.Lock() // the last call of Data is over
+			s.busy.Lock()
+			//lint:ignore SA2001 nothing is to be done but to wait until the last call of Data is over
 			s.busy.Unlock()
 			if ctx.Err() == nil {
 				c.Log.Warn("list service lost; the last list stands", "address", c.Address)
--- a/session/session.go
+++ b/session/session.go
@@ -165,6 +165,14 @@
 	}
 }
 
+// UnknownCommandError says that a command is none of the program's.
+type UnknownCommandError struct{ Command string }
+
+// Error is the reply, by whose beginning scripts know it.
+func (e UnknownCommandError) Error() string {
+	return fmt.Sprintf("Unknown command: %q. Try help.", e.Command)
+}
+
 // run finds the command with the longest beginning that fits.
 func (l *Listener) run(w io.Writer, cmd runtime.Command) error {
 	var best *Command
@@ -175,7 +183,7 @@
 		}
 	}
 	if best == nil {
-		return fmt.Errorf("Unknown command: %q. Try help.", cmd.String())
+		return UnknownCommandError{cmd.String()}
 	}
 	return best.Do(w, cmd)
 }
