Young servers stay out for long only in cells that are mostly warm

Cause: what is replaced is the capacity; while a quarter of it serves, tries fail, and while they fail it stays out. Change: the half holds only where two thirds of the cell's ready servers are warm; elsewhere the quarter. Why it holds: a bar for long never takes more than a third of a cell.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,6 +51,7 @@
 	failsMuch   = 0.12    // of all tries failing: distress
 	youngest    = 0.25    // of its warm-up: a cold server stays out while as many fail
 	youngAvoid  = 0.5     // the same where proxies avoid by themselves what fails them
+	mostlyWarm  = 2.0 / 3 // of a cell's ready servers
 	leastTries  = 4       // before failing means anything
 	easeStep    = 0.6     // the most that one easing leaves
 	setpoint    = 0.85    // of what the servers can do is let in; and what one trim leaves
@@ -92,7 +93,7 @@
 type cell struct {
 	table                             *table
 	area                              int
-	servers, ready, sick              int
+	servers, ready, warm, sick        int
 	live, jammed                      bool
 	met                               tally // over its servers
 	since, answeredAt                 time.Duration
@@ -432,7 +433,7 @@
 func (a *Assigner) health() {
 	a.met = tally{}
 	for _, c := range a.cells {
-		c.ready, c.sick, c.met = 0, 0, tally{}
+		c.ready, c.warm, c.sick, c.met = 0, 0, 0, tally{}
 	}
 	keep := math.Exp(-a.facts.ReportEvery.Seconds() / a.lag().Seconds())
 	for _, e := range a.listed {
@@ -441,6 +442,9 @@
 			continue
 		}
 		e.cell.ready++
+		if a.cold(e) == 1 {
+			e.cell.warm++
+		}
 		if e.sick && a.now-e.turnAt >= e.sickFor {
 			e.sick, e.turnAt, e.load, e.tries, e.fails = false, a.now, -1, 0, 0
 		}
@@ -739,7 +743,7 @@
 // (for longer in such places) also as soon as many tries fail.
 func (a *Assigner) barred(e *endpoint) bool {
 	young := youngest
-	if a.facts.OutlierAfter > 0 {
+	if a.facts.OutlierAfter > 0 && float64(e.cell.warm) > mostlyWarm*float64(e.cell.ready) {
 		young = youngAvoid
 	}
 	return a.cold(e) < 1 && e.cell.jammed || a.cold(e) < young && a.pressed(e.cell) > failsMuch
