--- a/lab/check_test.go
+++ b/lab/check_test.go
@@ -227,7 +227,7 @@
 					}
 				}
 			}
-			r, err := Run(t.Context(), brief(t), o)
+			r, err := playDay(t, brief(t), o)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -285,7 +285,7 @@
 	d := brief(t)
 	d.Troubles = []files.Trouble{{Kind: "balancer_crash", At: files.Duration(s), Length: files.Duration(s / 2), Extra: 1}}
 	o := Options{Log: slog.New(slog.DiscardHandler), begin: func(f *fleet) { f.list.Down(true) }}
-	r, err := Run(t.Context(), d, o)
+	r, err := playDay(t, d, o)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/lab/load.go
+++ b/lab/load.go
@@ -190,6 +190,10 @@
 	s.busy.Wait()
 }
 
+// windowUsed is how many tenths of a deduplication window a client repeats its op in. The rest is for the way: a repeat that
+// left in time and came too late takes effect again, which is then its client's doing.
+const windowUsed = 7
+
 // client is the one who asked for an op: it waits, gives up, tries again where that is safe.
 func (s *source) client(from time.Time, o *op) {
 	t := &s.types[o.opType]
@@ -235,7 +239,7 @@
 		}
 		o.ended = time.Since(from)
 		safe := refused || t.Repeat == control.Retryable ||
-			t.Repeat == control.Deduplicated && time.Since(first) < t.DedupWindow
+			t.Repeat == control.Deduplicated && time.Since(first)+wait < t.DedupWindow*windowUsed/10
 		if o.outcome == opAcked || !safe || o.tries > c.Retries || time.Now().Add(wait).After(deadline) {
 			return
 		}
--- a/lab/records_test.go
+++ b/lab/records_test.go
@@ -36,7 +36,7 @@
 	var fl *fleet
 	o := Options{Log: slog.New(slog.DiscardHandler), begin: func(f *fleet) { fl = f },
 		Records: slog.New(syslog.NewHandler(out, syslog.Identity{App: "vetchdoor-pilot", Rate: 1e6}))}
-	if _, err := Run(t.Context(), d, o); err != nil {
+	if _, err := playDay(t, d, o); err != nil {
 		t.Fatal(err)
 	}
 	out.Close()
--- a/lab/tenants_test.go
+++ b/lab/tenants_test.go
@@ -20,8 +20,8 @@
 	d.Length = ms(6000)
 	d.Load.Tenants.Count = 30
 	d.Clients.Retries, d.Clients.Backoff, d.Clients.Honour = 4, ms(30), 0
-	d.Service.OpTypes[1].OpTimeout, d.Service.OpTypes[1].DedupWindow = ms(600), ms(600)
-	d.Service.WriteLife = ms(700)
+	d.Service.OpTypes[1].OpTimeout, d.Service.OpTypes[1].DedupWindow = ms(600), ms(2000)
+	d.Service.WriteLife = ms(1000)
 	d.Net.Push, d.Net.Hears = ms(5), ms(5)
 	d.Load.Works[1].Share = 2
 	d.Troubles = []files.Trouble{{Kind: "move_tenants", At: ms(300), Length: ms(5000), Size: 30},
@@ -29,6 +29,11 @@
 	return d
 }
 
+// On a busy machine this test failed with 24 to 52 effects doubled, and no fault in what it tests: by the ledger each second
+// effect had come 603 to 1,250 ms after the first, from a try of the client's own, in a window of 600 ms. The clients repeated until
+// the very end of the window, which left nothing for the way, and seven days were played in real time at once. Clients leave
+// three tenths for the way now, the windows are wide enough for a late machine, and days take turns.
+//
 // Tenants that move amid heavy filing, with half of the answers lost and repeats through other proxies, keep every write to
 // one effect; pilots and proxies that wait for less do not, and the histories show it.
 func TestMovesAmidFiling(t *testing.T) {
@@ -42,7 +47,7 @@
 					x.WriteLife, x.OpTypes[1].DedupWindow = files.Duration(time.Millisecond), files.Duration(time.Millisecond)
 				}
 			}
-			r, err := Run(t.Context(), movingDay(t), o)
+			r, err := playDay(t, movingDay(t), o)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -51,7 +56,7 @@
 				t.Fatalf("%+v, %d effects, breaks %v", m, r.Effects, r.Breaks)
 			}
 			if (m.Wrong > 0) != planted {
-				t.Errorf("%d histories are wrong, %d effects doubled", m.Wrong, r.Doubled)
+				t.Errorf("%d histories are wrong, %d effects doubled; the generator was behind by %v at p99, %v at most", m.Wrong, r.Doubled, r.BehindP99, r.BehindMost)
 			}
 		})
 	}
@@ -94,13 +99,13 @@
 			if how == "" {
 				c.BadTimes = 30
 			}
-			r, err := Run(t.Context(), d, Options{Log: slog.New(slog.DiscardHandler)})
+			r, err := playDay(t, d, Options{Log: slog.New(slog.DiscardHandler)})
 			if err != nil {
 				t.Fatal(err)
 			}
 			l := r.Tenants
 			if !r.Kept() || l == nil || l.OutsideShare <= 0 || l.OutsideShare >= 1 || l.Others <= 0 {
-				t.Errorf("%+v, breaks %v", l, r.Breaks)
+				t.Errorf("%+v, breaks %v; the generator was behind by %v at p99, %v at most", l, r.Breaks, r.BehindP99, r.BehindMost)
 			}
 		})
 	}
