A request keeps its own head: the parser no longer points into buffers that netpoll takes back

What callers saw: a request reached its server with one client's body and the path, credentials and other fields of another's; others were answered 404, or for a path that was no one's.

Cause: http1.Parser parses a head once and kept slices of the buffer it was given while the body was on its way. netpoll's Peek returns a buffer of its own where the bytes lie in several blocks, and a larger Peek gives it back to a pool that all connections share.

Why it holds: the parser copies a head once it is whole and keeps nothing of a buffer after ErrMore; a whole message refers only to the last buffer, and nobody peeks, skips or releases on that connection before the message is done with. The copy of whole answers in upstream is gone.

--- a/http1/http1.go
+++ b/http1/http1.go
@@ -34,11 +34,11 @@
 	return &Malformed{Status: status, Reason: fmt.Sprintf(format, args...)}
 }
 
-// Field is one header field; both parts point into the buffer that was parsed.
+// Field is one header field; both parts belong to the parser, as the rest of a head does.
 type Field struct{ Name, Value []byte }
 
-// Message is a request or a response. Its slices point into the buffer that was parsed, but for the body of a chunked
-// one, and hold until that buffer changes.
+// Message is a request or a response. What came in its head belongs to the parser and holds until its Next, as does the body
+// of a chunked message. Any other body is a part of the buffer that the last call of Parse was given.
 type Message struct {
 	Method, Target []byte // of a request
 	Status         int    // of a response
@@ -95,8 +95,9 @@
 	kind    kind
 	headers bool // the answer to a HEAD request: no body follows, whatever its fields say
 	msg     Message
-	looked  int // bytes known to hold no end of head
-	head    int // size of the head; 0: not parsed yet
+	text    []byte // a copy of the head, into which the message points
+	looked  int    // bytes known to hold no end of head
+	head    int    // size of the head; 0: not parsed yet
 	body    framing
 	length  int    // announced, by length
 	at      int    // read so far, chunked: where the next chunk starts
@@ -123,7 +124,9 @@
 func (p *Parser) ForHead() { p.headers = true }
 
 // Parse looks for one whole message at the front of b, which holds all bytes since the last message's end; ended says
-// that no more will come. It returns ErrMore while the message is not whole and a *Malformed if it never can be.
+// that no more will come. It returns ErrMore while the message is not whole and a *Malformed if it never can be. Nothing is
+// kept of b after ErrMore, so that the next call may bring the same bytes in other memory; the body of a whole message is a
+// part of b unless it is chunked, and b has to stay as it is until Next.
 func (p *Parser) Parse(b []byte, ended bool) (*Message, error) {
 	if p.head == 0 {
 		if err := p.parseHead(b); err != nil {
@@ -164,11 +167,22 @@
 
 // Next makes the parser ready for the message after the one just returned, which may no longer be used.
 func (p *Parser) Next() {
-	fields, chunks := p.msg.Fields[:0], p.chunks[:0]
-	if cap(chunks) > 64<<10 {
-		chunks = nil
+	*p = Parser{Bounds: p.Bounds, kind: p.kind, msg: Message{Fields: p.msg.Fields[:0]},
+		text: reuse(p.text, mostTextKept), chunks: reuse(p.chunks, mostChunksKept)}
+}
+
+// Bytes of memory that a parser keeps from message to message: an idle connection has one.
+const (
+	mostTextKept   = 4 << 10
+	mostChunksKept = 64 << 10
+)
+
+// reuse empties a buffer, and lets go of one that is larger than most.
+func reuse(b []byte, most int) []byte {
+	if cap(b) > most {
+		return nil
 	}
-	*p = Parser{Bounds: p.Bounds, kind: p.kind, msg: Message{Fields: fields}, chunks: chunks}
+	return b[:0]
 }
 
 // parseHead reads the first line and the fields once the empty line behind them has come.
@@ -192,8 +206,10 @@
 	if end+4 > p.Head {
 		return bad(431, "head over %d bytes", p.Head)
 	}
-	// A bare line feed or carriage return is left standing in its line, where it is no character that is allowed.
-	lines := b[:end+2]
+	// A bare line feed or carriage return is left standing in its line, where it is no character that is allowed. The head is
+	// copied, for b may be other memory when the body has come.
+	p.text = append(p.text[:0], b[:end+2]...)
+	lines := p.text
 	first, rest, _ := bytes.Cut(lines, []byte("\r\n"))
 	if len(first) > p.Line {
 		return bad(414, "first line over %d bytes", p.Line)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -55,7 +55,6 @@
 	server string
 	since  time.Time // idle since
 	kept   bool      // it has been idle
-	answer []byte    // a copy of what came of the answer under way
 }
 
 // errFull says that all connections to a server are in use.
@@ -116,7 +115,8 @@
 	return !c.gone
 }
 
-// Answer is a response. Its message holds until Release, which must be called.
+// Answer is a response. Its message holds until Release, which must be called: netpoll takes the bytes of the last Peek back at
+// the next Peek or Release of its connection, or as it is closed, and none of these comes before.
 type Answer struct {
 	*http1.Message
 	pool *Pool
@@ -182,9 +182,7 @@
 			if err != nil {
 				return nil, fail(err)
 			}
-			// An answer is read by its caller while netpoll may take its buffer back, so it is parsed from a copy.
-			c.answer = append(c.answer[:0], b...)
-			m, err := c.parser.Parse(c.answer, false)
+			m, err := c.parser.Parse(b, false)
 			if err == nil && m.Status < 200 {
 				if r.Skip(m.Size) != nil {
 					return nil, fail(netpoll.ErrConnClosed)
@@ -210,8 +208,7 @@
 			n = r.Len()
 			if answered = answered || n > 0; n > 0 && !errors.Is(err, netpoll.ErrReadTimeout) {
 				if b, perr := r.Peek(n); perr == nil {
-					c.answer = append(c.answer[:0], b...)
-					if m, perr := c.parser.Parse(c.answer, true); perr == nil {
+					if m, perr := c.parser.Parse(b, true); perr == nil {
 						return &Answer{Message: m, pool: p, conn: c}, nil
 					}
 				}
