The memory transport overwrites what an earlier Peek, Next or Release took back

Need: netpoll gives the memory of a Peek to other connections after the next one; the transport in memory handed out its own buffer, which never changed, so that no order of events that we play could show who keeps bytes for too long.

Change: what Peek and Next return is a copy, overwritten at the next one and at Release.

--- a/lab/link/memory.go
+++ b/lab/link/memory.go
@@ -216,6 +216,7 @@
 	said       bool // its peer has been told that it ended
 	busy       bool // a request or the callbacks are under way
 	in         []byte
+	lent       []byte  // what the last Peek or Next returned
 	way        []piece // on the way to this end
 	due        time.Time
 	came       chan struct{} // closed and made anew as something happens
@@ -466,7 +467,31 @@
 	return len(r.e.in)
 }
 
-func (r memoryReader) Release() error { return nil }
+// Release takes back what Peek or Next returned.
+func (r memoryReader) Release() error {
+	r.e.mu.Lock()
+	defer r.e.mu.Unlock()
+	r.e.takeBack()
+	return nil
+}
+
+// lend returns a copy of the first bytes that came; e.mu is held. It holds until the next call of Peek, Next or Release.
+func (e *memoryEnd) lend(n int) []byte {
+	e.takeBack()
+	e.lent = append([]byte(nil), e.in[:n]...)
+	return e.lent
+}
+
+// overwritten stands in memory that was taken back.
+const overwritten = '#'
+
+// takeBack overwrites what was lent, as another connection does whose reader gets that memory from netpoll's pool; e.mu is held.
+func (e *memoryEnd) takeBack() {
+	for i := range e.lent {
+		e.lent[i] = overwritten
+	}
+	e.lent = nil
+}
 
 func (r memoryReader) Peek(n int) ([]byte, error) {
 	e := r.e
@@ -492,7 +517,7 @@
 			return nil, netpoll.ErrReadTimeout
 		}
 	}
-	return e.in[:n:n], nil
+	return e.lend(n), nil
 }
 
 func (r memoryReader) Next(n int) ([]byte, error) {
