Lines that the pilot writes by itself keep to a part of the channel that the module never counts on

What callers saw: while servers changed addresses, or tenants' limits stood, a proxy's session ended in a full channel and began anew with a whole table.

Cause: the module counts its own orders up to nine tenths of the channel. The pilot wrote a message for every change of an address beside them, and all tenants' limits with a proxy's first message.

Change: files.Facts tells the module of a sixteenth less room; own lines, until confirmed, keep to that sixteenth (NoticeLines). What has no room waits as a mark and is written with what is true by then, each proxy in its turn. The cap on messages is kept for each proxy, where it was kept for moved addresses over all.

Why it holds: module's and pilot's unconfirmed lines are bounded apart, and the bounds add up to the channel's size.

Tests touched: literals of outgoing name their fields, since it has one more; TestBookLimits asks for the messages in a second call and expects the same ones.

--- a/files/files.go
+++ b/files/files.go
@@ -323,7 +323,7 @@
 		Instance: p.Instance, Instances: max(1, p.Instances), Zone: s.ZoneIndex(p.Zone), Zones: len(s.Zones),
 		OpTypes: s.Types(), Tick: p.Tick.Span(), Levels: control.LevelShare,
 		OutlierAfter: s.OutlierAfter, Bootstrap: s.Bootstrap, Proxies: p.Proxies, MessageLines: float64(c.MessageLines),
-		LinesPerSecond: c.LinesPerSecond, MostWaiting: float64(c.MostWaiting),
+		LinesPerSecond: c.LinesPerSecond, MostWaiting: float64(c.MostWaiting - p.NoticeLines()),
 		MessageCap:     max(0, c.MessageCap-1), // one is the pilot's own
 		MessageCapOver: c.MessageCapOver.Span(), PushDelayMost: c.PushDelayMost.Span(),
 		ReportEvery: s.ReportEvery.Span(), ReportLinesPerS: c.ReportLinesPerSecond,
@@ -336,6 +336,15 @@
 	return f
 }
 
+// noticeShare is the part of the lines that may wait that the module is not told of, one in so many: it is for what the pilot
+// tells proxies by itself.
+const noticeShare = 16
+
+// NoticeLines is how many lines of its own a pilot may have written and not had confirmed: enough for one message at least.
+func (p *Pilot) NoticeLines() int {
+	return max(p.Channel.MostWaiting/noticeShare, p.Channel.MessageLines+len(p.Service.OpTypes))
+}
+
 // ModeOf reads a mode as the list has it; an empty one is ready.
 func ModeOf(s string) (control.Mode, error) {
 	switch s {
--- a/pilot/book.go
+++ b/pilot/book.go
@@ -19,6 +19,9 @@
 	out     map[control.EndpointID]bool
 	proxies map[control.ProxyID]*holder
 	limits  map[string]runtime.Change // of tenants, rates over all proxies
+	budget  noticeBudget
+	due     map[control.ProxyID]bool // who is yet to be told something by the pilot itself
+	turn    control.ProxyID          // whose turn is next
 
 	contents map[uint64][]runtime.Line // tables that proxies hold of earlier runs, by digest
 	saved    int                       // lines that were not sent for it
@@ -40,8 +43,8 @@
 	bound    []*sheet // by op type; nil: its standing table, or what an earlier run gave it
 	told     map[control.EndpointID]bool
 	levelled bool // it has been sent the levels for all
-	limited  bool // it has been sent the tenants' limits
 	cleared  bool // withdrawals of earlier runs are cleared
+	notices  notices
 	next     uint64
 	changes  []runtime.Change // of the message being written
 }
@@ -49,26 +52,32 @@
 func newBook(types, head int, where func(control.EndpointID) (runtime.Server, bool)) *book {
 	return &book{where: where, types: types, head: head, tables: map[control.TableID]*sheet{},
 		all: map[int]runtime.Change{}, out: map[control.EndpointID]bool{}, proxies: map[control.ProxyID]*holder{},
-		limits: map[string]runtime.Change{}, contents: map[uint64][]runtime.Line{}}
+		limits: map[string]runtime.Change{}, budget: noticeBudget{most: unbounded}, due: map[control.ProxyID]bool{}, contents: map[uint64][]runtime.Line{}}
 }
 
 // join adds a proxy that is bound to nothing; number is that of the last message that this run sent it.
 func (b *book) join(id control.ProxyID, standing []control.EndpointID, older bool, number uint64) {
 	h := &holder{id: id, older: older, standing: map[control.EndpointID]bool{}, bound: make([]*sheet, b.types),
-		told: map[control.EndpointID]bool{}, next: number + 1}
+		told: map[control.EndpointID]bool{}, next: number + 1, notices: newNotices()}
 	for _, e := range standing {
 		h.standing[e] = true
 	}
 	b.proxies[id] = h
+	for name := range b.limits {
+		h.notices.limits[name] = true
+		b.due[id] = true
+	}
 }
 
 // leave drops a proxy and returns the number of the last message sent to it.
 func (b *book) leave(id control.ProxyID) uint64 {
 	h := b.proxies[id]
 	delete(b.proxies, id)
+	delete(b.due, id)
 	if h == nil {
 		return 0
 	}
+	b.budget.used -= h.notices.unconfirmed
 	return h.next - 1
 }
 
@@ -108,6 +117,7 @@
 type outgoing struct {
 	proxy control.ProxyID
 	*runtime.Message
+	notices int // lines of it that the pilot wrote by itself
 }
 
 // write carries out the orders of one reply that concern proxies and returns the messages, by proxy, and the orders
@@ -148,17 +158,14 @@
 	}
 	for _, h := range joined {
 		if len(h.changes) > 0 || everyone && checkpoint >= 0 {
-			messages = append(messages, b.finish(h, checkpoint))
+			messages = append(messages, b.finish(h, checkpoint, b.addNotices(h)))
 		}
 	}
 	return messages, rest
 }
 
-// finish takes what is written for a proxy as a message.
-func (b *book) finish(h *holder, checkpoint int) outgoing {
-	if !h.limited {
-		h.addLimits(b)
-	}
+// finish takes what is written for a proxy as a message; so many lines of it are notices.
+func (b *book) finish(h *holder, checkpoint, notices int) outgoing {
 	if !h.levelled {
 		h.levelled = true
 		for _, i := range slices.Sorted(maps.Keys(b.all)) {
@@ -170,7 +177,7 @@
 		m.Lines++
 	}
 	h.next, h.changes = h.next+1, nil
-	return outgoing{h.id, m}
+	return outgoing{h.id, m, notices}
 }
 
 func (b *book) toUsers(t *sheet, joined []*holder, c runtime.Change) {
@@ -367,73 +374,9 @@
 	return true
 }
 
-// moved writes endpoints' new places to all who hold them in a table, one message each.
-func (b *book) moved(endpoints []control.EndpointID) (messages []outgoing) {
-	joined := b.sorted()
-	for _, e := range endpoints {
-		at, ok := b.where(e)
-		if !ok {
-			continue
-		}
-		for _, id := range slices.Sorted(maps.Keys(b.tables)) {
-			if t := b.tables[id]; t.lines[e] > 0 {
-				b.toUsers(t, joined, runtime.Change{Verb: runtime.AddServer, Table: id, Endpoint: e, Server: at, Weight: t.lines[e]})
-			}
-		}
-	}
-	for _, h := range joined {
-		if len(h.changes) > 0 {
-			messages = append(messages, b.finish(h, -1))
-		}
-	}
-	return messages
-}
-
-// share is a tenant's limit as one of the joined proxies keeps it.
-func (b *book) share(c runtime.Change) runtime.Change {
-	n := float64(max(1, len(b.proxies)))
-	if c.Rate > 0 {
-		c.Rate /= n
-	}
-	if c.Hand > 0 {
-		c.Hand /= n
-	}
-	return c
-}
-
-// limit writes changed limits to all; one who has not been sent any gets them all.
-func (b *book) limit(limits []runtime.Change) (messages []outgoing) {
-	for _, c := range limits {
-		if b.limits[c.Tenant] = c; c.Limit().Free() {
-			delete(b.limits, c.Tenant)
-		}
-	}
-	for _, h := range b.sorted() {
-		if h.limited {
-			for _, c := range limits {
-				h.add(b.share(c))
-			}
-		} else {
-			h.addLimits(b)
-		}
-		if len(h.changes) > 0 {
-			messages = append(messages, b.finish(h, -1))
-		}
-	}
-	return messages
-}
-
 // alone is a message for one proxy of changes that concern no table.
 func (b *book) alone(id control.ProxyID, changes []runtime.Change) outgoing {
 	h := b.proxies[id]
 	h.changes = append(h.changes, changes...)
-	return b.finish(h, -1)
-}
-
-// addLimits writes a proxy all limits that stand.
-func (h *holder) addLimits(b *book) {
-	h.limited = true
-	for _, name := range slices.Sorted(maps.Keys(b.limits)) {
-		h.add(b.share(b.limits[name]))
-	}
+	return b.finish(h, -1, 0)
 }
--- a/pilot/book_test.go
+++ b/pilot/book_test.go
@@ -82,7 +82,7 @@
 func TestChannel(t *testing.T) {
 	c := newChannel(1000, 100)
 	msg := func(p control.ProxyID, n uint64, lines int) outgoing {
-		return outgoing{p, &runtime.Message{Number: n, Lines: lines}}
+		return outgoing{proxy: p, Message: &runtime.Message{Number: n, Lines: lines}}
 	}
 	for i := range 5 {
 		if !c.push(msg(control.ProxyID(i%2), uint64(i), 20)) {
@@ -156,8 +156,13 @@
 	b.join(1, nil, false, 0)
 	b.join(2, nil, false, 0)
 	b.write([]control.Order{control.Checkpoint{Number: 1, All: true}})
+	told := func(c runtime.Change) string {
+		b.limit([]runtime.Change{c})
+		messages, _ := b.notify(0)
+		return text(messages)
+	}
 	limit := runtime.Change{Verb: runtime.SetTenant, Tenant: "delo", Rate: 8, Hand: 6, Fenced: true, Room: 1}
-	if got := text(b.limit([]runtime.Change{limit})); got != "p1 #2 4; set tenant =delo rate 4 tries 0 fence on hand 3 room 1\np2 #2 4; set tenant =delo rate 4 tries 0 fence on hand 3 room 1" {
+	if got := told(limit); got != "p1 #2 4; set tenant =delo rate 4 tries 0 fence on hand 3 room 1\np2 #2 4; set tenant =delo rate 4 tries 0 fence on hand 3 room 1" {
 		t.Error(got)
 	}
 	b.join(3, nil, false, 0)
@@ -166,7 +171,7 @@
 		t.Error(s)
 	}
 	limit.Rate, limit.Hand, limit.Fenced, limit.Tries = -1, -1, false, 0.2
-	if got := text(b.limit([]runtime.Change{limit})); strings.Count(got, "set tenant =delo rate * tries 0.2 fence off hand * room 1") != 3 {
+	if got := told(limit); strings.Count(got, "set tenant =delo rate * tries 0.2 fence off hand * room 1") != 3 {
 		t.Error(got)
 	}
 	b.join(4, nil, false, 0)
--- a/pilot/list.go
+++ b/pilot/list.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"log/slog"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -58,38 +57,14 @@
 		p.host.Event(control.Listing{Kind: kind, Entries: p.entries(known)})
 	}
 	if len(moved) > 0 {
-		p.readdress(moved)
+		p.book.moved(moved)
+		p.pump()
 	}
 	if p.saver != nil {
 		p.saver.save(p.version, p.sortedList())
 	}
 }
 
-// readdress has proxies told of endpoints that moved. Where messages are capped that is at most one of the pilot's own within
-// the cap's span, for which files.Facts leaves room beside the module's; what moves meanwhile waits.
-func (p *Pilot) readdress(moved []control.EndpointID) {
-	for _, id := range moved {
-		p.moving[id] = true
-	}
-	wait := p.facts.MessageCapOver - time.Since(p.readdressed)
-	if p.facts.MessageCap > 0 && wait > 0 {
-		if !p.waits {
-			p.waits = true
-			time.AfterFunc(wait, func() {
-				p.post(func() {
-					p.waits = false
-					p.readdress(nil)
-				})
-			})
-		}
-		return
-	}
-	p.readdressed = time.Now()
-	p.queue(p.host.Now(), p.book.moved(slices.Sorted(maps.Keys(p.moving))))
-	clear(p.moving)
-	p.pump()
-}
-
 // keepFor is how long an endpoint is kept that is gone: sums of it come late, and one that restarts may be gone meanwhile.
 const keepFor = 30 * time.Second
 
@@ -108,7 +83,6 @@
 		case p.host.Now()-since > p.keep && p.book.free(id):
 			delete(p.goneAt, id)
 			delete(p.list, id)
-			delete(p.moving, id)
 		}
 	}
 }
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -81,9 +81,7 @@
 	list         map[control.EndpointID]roster.Entry
 	goneAt       map[control.EndpointID]time.Duration // since when the list has an endpoint as gone
 	keep         time.Duration                        // keepFor
-	moving       map[control.EndpointID]bool          // whose new place proxies are yet to be told
-	readdressed  time.Time                            // when they were last told of such
-	waits        bool                                 // they are to be, later
+	waits        bool                                 // proxies are to be told something by the pilot itself, later
 	version      uint64
 	source       *roster.Client
 	saver        *saver
@@ -103,7 +101,7 @@
 		seed = rand.Uint64()
 	}
 	p := &Pilot{file: file, log: log.With("pilot", file.Name),
-		list: map[control.EndpointID]roster.Entry{}, goneAt: map[control.EndpointID]time.Duration{}, keep: keepFor, wires: map[*wire]bool{}, moving: map[control.EndpointID]bool{},
+		list: map[control.EndpointID]roster.Entry{}, goneAt: map[control.EndpointID]time.Duration{}, keep: keepFor, wires: map[*wire]bool{},
 		silent: file.Silent.Span(), resumeWithin: file.Resume.Span(), probes: &upstream.Pool{}}
 	p.host = host.New(file.Facts(), seed, p.log)
 	p.host.Front, p.facts = p, p.host.Facts
@@ -124,7 +122,10 @@
 // Begin starts the book anew, with the list as it is known and nothing else.
 func (p *Pilot) Begin() (events []control.Event) {
 	p.book = newBook(len(p.facts.OpTypes), int(p.facts.MessageLines), p.where)
-	p.channel = newChannel(p.facts.LinesPerSecond, p.facts.MostWaiting)
+	if p.book.budget.most = p.file.NoticeLines(); p.facts.MessageCap > 0 {
+		p.book.budget.gap = p.facts.MessageCapOver
+	}
+	p.channel = newChannel(p.facts.LinesPerSecond, float64(p.file.Channel.MostWaiting))
 	p.intake = newIntake(p.facts.ReportLinesPerS, len(p.facts.Measures))
 	p.intake.types = len(p.facts.OpTypes)
 	p.intake.known = func(id control.EndpointID) bool { _, ok := p.list[id]; return ok }
@@ -198,6 +199,7 @@
 
 // pump sends what the channel lets out now.
 func (p *Pilot) pump() {
+	p.notify()
 	for {
 		m, ok, wait := p.channel.next(p.host.Now(), func(id control.ProxyID, lines int) bool {
 			s := p.sessions[id]
@@ -247,10 +249,27 @@
 	for _, l := range limits {
 		changes = append(changes, runtime.LimitOf(l))
 	}
-	p.queue(p.host.Now(), p.book.limit(changes))
+	p.book.limit(changes)
 	p.pump()
 }
 
+// notify tells proxies what they are yet to be told by the pilot itself, as far as there is room. Where messages are capped that is
+// at most one message to each within the cap's span, for which files.Facts leaves room beside the module's.
+func (p *Pilot) notify() {
+	messages, wait := p.book.notify(p.host.Now())
+	p.queue(p.host.Now(), messages)
+	if wait < 0 || p.waits {
+		return
+	}
+	p.waits = true
+	time.AfterFunc(wait, func() {
+		p.post(func() {
+			p.waits = false
+			p.pump()
+		})
+	})
+}
+
 // podLoads returns how busy pods said they are over the period, the mean of their servers.
 func (p *Pilot) podLoads() (out []tenancy.Health) {
 	for pod, l := range p.loads {
--- a/pilot/records_test.go
+++ b/pilot/records_test.go
@@ -41,14 +41,14 @@
 		control.SetLevel{Table: control.Everywhere, OpTypes: 1, Level: 0.5, Why: control.Why{Reason: control.Distress, Value: 81, Limit: 80}},
 		control.Suspend{Endpoint: 17, Out: true, Why: control.Why{Reason: control.Sick, Value: 0.9, Limit: 0.3}}, control.Note{Text: "n"}, control.Checkpoint{Number: 5}}
 	r.ordered(orders)
-	r.sent(orders, []outgoing{{3, message(5)}, {4, message(5)}})
+	r.sent(orders, []outgoing{{proxy: 3, Message: message(5)}, {proxy: 4, Message: message(5)}})
 	r.inForce(3, 5, time.Second)
 	r.inForce(3, 5, time.Second)
 	r.inForce(9, 5, time.Second)
 	now = patience + 1
 	r.look()
 	orders = []control.Order{control.Checkpoint{Number: 6}}
-	r.sent(orders, []outgoing{{3, message(6)}})
+	r.sent(orders, []outgoing{{proxy: 3, Message: message(6)}})
 	r.inForce(3, 6, time.Second)
 	r.close()
 	out.Close()
--- a/pilot/streams.go
+++ b/pilot/streams.go
@@ -292,6 +292,7 @@
 func (p *Pilot) confirm(s *session, m outgoing) {
 	s.sent = s.sent[1:]
 	s.unconfirmed -= m.Lines
+	p.book.confirmed(m)
 	p.placed(s, m)
 	if m.Checkpoint >= 0 {
 		p.records.inForce(s.id, m.Checkpoint, p.host.Now()-m.At)
