Each op of the laboratory bears its own sign in path, fields and body, and the answer returns it

Need: no client of the laboratory checked that an answer is its own, and no server that a request is whole, so that requests under another's head went unseen.

Change: lab/sign. In memory the last byte of what is written comes a microsecond after the rest, so that each request is looked at twice.

--- a/lab/account.go
+++ b/lab/account.go
@@ -242,7 +242,11 @@
 			fmt.Fprintf(w, "  and %d more\n", len(r.Breaks)-i)
 			break
 		}
-		fmt.Fprintf(w, "  rule %d at %v: %s\n", b.Rule, b.At.Round(time.Millisecond), b.What)
+		name := fmt.Sprintf("rule %d", b.Rule)
+		if b.Rule == noRule {
+			name = "mixed"
+		}
+		fmt.Fprintf(w, "  %s at %v: %s\n", name, b.At.Round(time.Millisecond), b.What)
 	}
 	s := &r.Service
 	fmt.Fprintf(w, "service %.3f: whole %.3f, worst 10 s %.3f, worst op type %.3f, tail %.3f, prices %.3f\n", s.Figure, s.Whole,
--- a/lab/check.go
+++ b/lab/check.go
@@ -34,9 +34,13 @@
 	passed   []link.Passed
 	arrivals []node.Arrival
 	falls    []node.Fall
+	mixed    []string // requests and answers that were mixed with others
 	until    time.Duration
 }
 
+// noRule is the number of a break of what no rule names.
+const noRule = 0
+
 // slack is what the measuring itself may add to a time: a relay's hop and a scheduler's turn on a busy machine.
 const slack = 150 * time.Millisecond
 
@@ -233,6 +237,9 @@
 	out = append(out, e.drainsKept(h)...)
 	out = append(out, e.coldKept(h)...)
 	out = append(out, e.queueShort(h)...)
+	for _, what := range e.mixed {
+		out = append(out, Break{Rule: noRule, At: e.until, What: what})
+	}
 	slices.SortStableFunc(out, func(a, b Break) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
--- a/lab/link/memory.go
+++ b/lab/link/memory.go
@@ -265,7 +265,7 @@
 			return len(b), nil
 		}
 	}
-	e.send(piece{data: p, came: e.now()})
+	e.sendInParts(piece{data: p, came: e.now()})
 	if breaks {
 		e.hangUp()
 		e.send(piece{})
@@ -280,12 +280,34 @@
 	return e.m.tap.now()
 }
 
+// lastPart is how many bytes of what is written go as a piece of their own where there is no road: so few that the head of a request
+// with a body is whole before its last piece comes.
+const lastPart = 1
+
+// partGap is how much later that piece comes; on a fake clock time goes on only once nobody has anything to do.
+const partGap = time.Microsecond
+
+// sendInParts sends a piece, in two where there is no road.
+func (e *memoryEnd) sendInParts(p piece) {
+	if cut := len(p.data) - lastPart; e.road == nil && cut > 0 {
+		e.sendAfter(0, piece{data: p.data[:cut:cut], came: p.came})
+		e.sendAfter(partGap, piece{data: p.data[cut:], came: p.came})
+		return
+	}
+	e.send(p)
+}
+
 // send puts a piece on the way to the peer; one without data is the connection's end.
 func (e *memoryEnd) send(p piece) {
 	delay := time.Duration(0)
 	if e.road != nil && e.road.Ways[e.direction] != nil {
 		delay = e.road.Ways[e.direction]()
 	}
+	e.sendAfter(delay, p)
+}
+
+// sendAfter does so after a delay, and not before what was sent earlier.
+func (e *memoryEnd) sendAfter(delay time.Duration, p piece) {
 	to := e.peer
 	to.mu.Lock()
 	if p.due = time.Now().Add(delay); p.due.Before(to.due) {
--- a/lab/load.go
+++ b/lab/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"sort"
@@ -15,6 +16,7 @@
 	"vetchdoor/files"
 	"vetchdoor/http1"
 	"vetchdoor/lab/node"
+	"vetchdoor/lab/sign"
 	"vetchdoor/upstream"
 )
 
@@ -55,6 +57,8 @@
 	ops     []*op
 	targets []string // proxies' addresses
 	pool    *upstream.Pool
+	ledger  *node.Ledger
+	large   bool                    // some requests are large
 	behind  *hdrhistogram.Histogram // of the generator, microseconds
 	mu      sync.Mutex
 	rng     *rand.Rand // of clients, under mu
@@ -223,6 +227,7 @@
 		o.outcome = opAborted
 		refused, wait := false, c.Backoff.Span()
 		if fail == nil {
+			s.checkSign(o, a)
 			switch {
 			case a.Status < 300:
 				o.outcome = opAcked
@@ -266,7 +271,8 @@
 	if m.PathPrefix != "" {
 		path = m.PathPrefix
 	}
-	b := http1.AppendRequest(nil, []byte(method), []byte(path))
+	large := s.large && o.number%largeEach == 0
+	b := http1.AppendRequest(nil, []byte(method), []byte(sign.Path(path, o.number)))
 	b = http1.AppendField(b, "Host", "results.example")
 	if m.Header != "" {
 		b = append(append(b, m.Header...), "\r\n"...)
@@ -287,5 +293,19 @@
 	if s.types[o.opType].Repeat == control.Deduplicated {
 		b = http1.AppendField(b, "Idempotency-Key", "op-"+strconv.FormatUint(o.number, 10))
 	}
-	return http1.AppendBody(b, nil)
+	b = sign.AppendFields(b, o.number, large)
+	return http1.AppendBody(b, sign.Body(o.number, large))
+}
+
+// largeEach is how often a request is a large one, over sockets: one in so many.
+const largeEach = 16
+
+// checkSign notes an answer that is another op's, and one that blames the request, for each is well formed.
+func (s *source) checkSign(o *op, a *upstream.Answer) {
+	if a.Status >= 400 && a.Status < 500 {
+		s.ledger.Mix(fmt.Sprintf("op %d was answered %d", o.number, a.Status))
+	}
+	if got := a.Get(sign.Field); got != nil && string(got) != strconv.FormatUint(o.number, 10) {
+		s.ledger.Mix(fmt.Sprintf("op %d got the answer of %s", o.number, got))
+	}
 }
--- a/lab/node/ledger.go
+++ b/lab/node/ledger.go
@@ -40,6 +40,7 @@
 	arrivals []Arrival
 	effects  []Effect
 	falls    []Fall
+	mixed    []string                    // what was seen of requests and answers that were mixed with others
 	memory   map[memoryKey]time.Duration // when a key first arrived in a group
 	wasted   time.Duration               // work that served no answer
 	worked   time.Duration
@@ -115,6 +116,23 @@
 	return append([]Fall(nil), l.falls...)
 }
 
+// Mix notes a request or an answer that was mixed with another one.
+func (l *Ledger) Mix(what string) {
+	const most = 100
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.mixed) < most {
+		l.mixed = append(l.mixed, what)
+	}
+}
+
+// Mixed returns what was noted of mixed requests and answers.
+func (l *Ledger) Mixed() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.mixed...)
+}
+
 // Work returns all work done and the part of it that served no answer.
 func (l *Ledger) Work() (all, wasted time.Duration) {
 	l.mu.Lock()
--- a/lab/node/node.go
+++ b/lab/node/node.go
@@ -15,6 +15,7 @@
 	"vetchdoor/control"
 	"vetchdoor/files"
 	"vetchdoor/http1"
+	"vetchdoor/lab/sign"
 	"vetchdoor/serve"
 	"vetchdoor/stream"
 )
@@ -296,6 +297,10 @@
 		n.answerProbe(c)
 		return
 	}
+	number, err := sign.Check(m)
+	if err != nil {
+		n.ledger.Mix(err.Error())
+	}
 	j := n.read(m)
 	j.came = time.Now()
 	n.mu.Lock()
@@ -381,7 +386,11 @@
 		if size, err := strconv.Atoi(string(m.Get(SizeField))); err == nil && size > 0 && size <= 1<<20 {
 			body = bytes.Repeat([]byte("x"), size)
 		}
-		_ = c.Answer(http1.AppendBody(n.report(http1.AppendStatus(nil, 200)), body))
+		b := n.report(http1.AppendStatus(nil, 200))
+		if number != nil {
+			b = http1.AppendField(b, sign.Field, number)
+		}
+		_ = c.Answer(http1.AppendBody(b, body))
 	case errored:
 		_ = c.Answer(http1.AppendBody(n.report(http1.AppendStatus(nil, 500)), nil))
 	default:
--- a/lab/orders_test.go
+++ b/lab/orders_test.go
@@ -238,7 +238,7 @@
 
 // load has ops come to each proxy from now on.
 func (f *tiny) load(span time.Duration) {
-	f.ops = &source{day: f.day, types: f.day.Service.Types(), rng: rand.New(rand.NewPCG(1, 3)),
+	f.ops = &source{day: f.day, ledger: f.ledger, types: f.day.Service.Types(), rng: rand.New(rand.NewPCG(1, 3)),
 		pool: &upstream.Pool{PerServer: 64, IdleClose: 5 * time.Second, Bounds: http1.Usual, Net: f.net}}
 	for i := range f.proxies {
 		f.ops.targets = append(f.ops.targets, fmt.Sprintf("10.0.1.%d:80", i+1))
@@ -256,7 +256,7 @@
 // check returns the rules that are broken by now.
 func (f *tiny) check() []Break {
 	e := &evidence{service: &f.day.Service, limits: &f.day.Limits, channel: &f.day.Channel, from: f.ledger.From(), passed: f.tap.All(),
-		arrivals: f.ledger.Arrivals(), falls: f.ledger.Falls(), until: time.Since(f.ledger.From())}
+		arrivals: f.ledger.Arrivals(), falls: f.ledger.Falls(), mixed: f.ledger.Mixed(), until: time.Since(f.ledger.From())}
 	h, err := e.read(2)
 	if err != nil {
 		f.t.Error(err)
--- a/lab/run.go
+++ b/lab/run.go
@@ -57,7 +57,7 @@
 		o.begin(f)
 	}
 	f.plan()
-	s := &source{day: day, types: day.Service.Types(), rng: rand.New(rand.NewPCG(day.Seed, 3)),
+	s := &source{day: day, ledger: f.ledger, large: true, types: day.Service.Types(), rng: rand.New(rand.NewPCG(day.Seed, 3)),
 		pool: &upstream.Pool{PerServer: 4096, IdleClose: 5 * time.Second, Bounds: http1.Usual}}
 	defer s.pool.Close()
 	for _, at := range f.proxies {
@@ -114,7 +114,7 @@
 func (f *fleet) report(s *source, begin time.Time, start, until time.Duration, connections float64) (*Report, error) {
 	d := f.day
 	e := &evidence{service: &d.Service, limits: &d.Limits, channel: &d.Channel, from: f.ledger.From(), passed: f.tap.All(),
-		arrivals: f.ledger.Arrivals(), falls: f.ledger.Falls(), until: until}
+		arrivals: f.ledger.Arrivals(), falls: f.ledger.Falls(), mixed: f.ledger.Mixed(), until: until}
 	h, err := e.read(len(f.pilots))
 	if err != nil {
 		return nil, err
--- a/lab/tenants.go
+++ b/lab/tenants.go
@@ -90,6 +90,7 @@
 		a, fail := s.pool.Send(&upstream.Call{}, s.targets[o.proxy], req, time.Now().Add(hasteWait), false)
 		o.outcome, o.ended = opAborted, time.Since(from)
 		if fail == nil {
+			s.checkSign(o, a)
 			if a.Status < 300 {
 				o.outcome = opAcked
 			}
