A listener no longer blocks where nobody waits, so that a stop ends after descriptors ran out

What callers saw: a proxy that had been out of descriptors once did not end on SIGTERM and was killed with what was in hand.

Cause: os.File.Fd makes a descriptor blocking at each call, and it was called again after the descriptor had been made non-blocking. netpoll accepts in a loop of its own once descriptors ran out, until nobody waits: that Accept blocked with the listener's lock held, which Refuse waits for.

TestAcceptDoesNotWait failed before ('it waits for a connection'), and passes 50 times. Why it holds: Accept holds the lock for a system call that does not wait.

--- a/stream/listener.go
+++ b/stream/listener.go
@@ -27,14 +27,17 @@
 		return nil, fmt.Errorf("listen on %s: no descriptor", address)
 	}
 	file, err := f.File()
-	if err == nil {
-		err = syscall.SetNonblock(int(file.Fd()), true)
-	}
 	if err != nil {
 		ln.Close()
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	return &listener{ln: ln, file: file, fd: int(file.Fd()), network: network}, nil
+	fd := int(file.Fd()) // each call of Fd makes the descriptor a blocking one
+	if err := syscall.SetNonblock(fd, true); err != nil {
+		file.Close()
+		ln.Close()
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return &listener{ln: ln, file: file, fd: fd, network: network}, nil
 }
 
 type listener struct {
