A client that does not read its answer no longer holds a server's connection

What callers saw: beside clients that stop reading, ops were answered 503 'no server' while the servers stood idle.

Cause: passOn gave the server's connection back only once the client had taken the whole answer, of which it holds a copy by then.

Why it holds: the answer is copied before anything is written to the client, and the connection goes back to the pool in between.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -394,15 +394,16 @@
 	}
 }
 
-// passOn hands an answer to the client, unless it is a refusal after which another try may follow.
+// passOn hands an answer to the client, unless it is a refusal after which another try may follow. The server's connection is given
+// back before the client is written to, which may be slow to read.
 func (p *Proxy) passOn(c *serve.Conn, s *scratch, a *upstream.Answer, e *server, took time.Duration, state *tries,
 	begin time.Time, again control.Again, deadline time.Time, head bool) bool {
-	defer a.Release()
 	good := a.Status < 500
 	e.met(good, took, p.load(a.Get(http1.LoadHeader)), p.file.Service.OutlierAfter, p.file.Service.OutlierFor.Span())
 	if !good {
 		state.failedAt(e, begin, a.Status == 503 && len(a.Get(http1.UnrunHeader)) > 0)
 		if state.may(again) && time.Now().Before(deadline) {
+			a.Release()
 			return false
 		}
 	}
@@ -412,6 +413,7 @@
 		b = http1.AppendField(b, "Retry-After", p.retryAfterText())
 	}
 	s.in = http1.AppendAnswer(b, a.Message, head)
+	a.Release()
 	_ = c.Answer(s.in)
 	return true
 }
