The soak: signs, large requests in pieces, requests sent ahead, silent readers, servers that vanish, rules 4 and 5 meanwhile

Need: no op of the soak was checked for being its own, and clients sent small requests one after the other.

Change: each op bears a sign that the server compares and the answer returns; one in sixteen has a head of 10 KiB and a body of 24 KiB in three pieces; some wait for 100 Continue, some go several ahead (what is behind the connection's last answer must not be carried out); a quarter of a crowd reads nothing of long answers; half of the servers that are replaced vanish. The pilots' queues are looked at while signals come, servers that fell over cold at the end. A process that does not end writes its goroutines to its log.

--- a/cmd/vetchdoor/soak_clients_test.go
+++ b/cmd/vetchdoor/soak_clients_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
+	"vetchdoor/http1"
+	"vetchdoor/lab/node"
 	"vetchdoor/lab/platform"
+	"vetchdoor/lab/sign"
 )
 
 // outcome is what a client saw of one op.
@@ -22,6 +27,7 @@
 	written time.Time
 	status  int
 	bare    bool   // refused, for no server was there
+	behind  bool   // sent ahead behind the connection's last answer
 	lost    string // why there was no whole answer; empty: there was
 }
 
@@ -52,14 +58,26 @@
 	}
 }
 
-// converse sends ops one after the other until an answer says that the connection closes, or one is lost.
+// converse sends ops one after the other, at times several ahead, until an answer says that the connection closes, or one is lost.
 func (s *soak) converse(c net.Conn, proxy int, rng *rand.Rand) {
 	in := bufio.NewReader(c)
 	for !s.ended() {
-		o := outcome{op: s.ops.Add(1), proxy: proxy, writes: rng.IntN(3) == 0}
-		last := s.ask(c, in, &o, rng)
+		count := 1
+		if rng.IntN(aheadEach) == 0 {
+			count += 1 + rng.IntN(3)
+		}
+		ops := make([]outcome, count)
+		for i := range ops {
+			ops[i] = outcome{op: s.ops.Add(1), proxy: proxy, writes: rng.IntN(3) == 0}
+		}
+		last := false
+		if count == 1 {
+			last = s.ask(c, in, &ops[0], rng)
+		} else {
+			last = s.askAhead(c, in, ops, rng)
+		}
 		s.mu.Lock()
-		s.outcomes = append(s.outcomes, o)
+		s.outcomes = append(s.outcomes, ops...)
 		s.mu.Unlock()
 		if last {
 			return
@@ -68,28 +86,121 @@
 	}
 }
 
+// aheadEach is how often a client sends several ops before it reads an answer, expectEach how often it waits for a word before it
+// sends a body: one time in so many.
+const (
+	aheadEach  = 12
+	expectEach = 12
+)
+
+// askAhead sends ops without a pause and reads their answers in order; true if one was the connection's last. What was sent behind
+// that one is not carried out (RFC 9112, 9.6).
+func (s *soak) askAhead(c net.Conn, in *bufio.Reader, ops []outcome, rng *rand.Rand) (last bool) {
+	_ = c.SetDeadline(time.Now().Add(patience))
+	var text []byte
+	for i := range ops {
+		text = append(text, ops[i].request(rng, false)...)
+		ops[i].written = time.Now()
+	}
+	if _, err := c.Write(text); err != nil {
+		ops[0].lost = "write: " + err.Error()
+		last = true
+	}
+	for i := range ops {
+		if last {
+			ops[i].behind = i > 0
+			continue
+		}
+		last = s.readAnswer(in, &ops[i])
+	}
+	return last
+}
+
 // ask sends one op, at times in pieces, and reads its answer; true if it is the connection's last.
 func (s *soak) ask(c net.Conn, in *bufio.Reader, o *outcome, rng *rand.Rand) (last bool) {
 	_ = c.SetDeadline(time.Now().Add(patience))
-	text := fmt.Sprintf("GET /x HTTP/1.1\r\nHost: h\r\nLab-Op: %d\r\nLab-Work: %d\r\n\r\n", o.op, rng.IntN(8000))
-	if o.writes {
-		text = fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h\r\nLab-Op: %d\r\nLab-Type: 1\r\nLab-Work: %d\r\nContent-Length: 4\r\n\r\nbody", o.op, rng.IntN(8000))
-	}
-	pieces := []string{text}
-	if rng.IntN(4) == 0 {
-		at := 1 + rng.IntN(len(text)-1)
-		pieces = []string{text[:at], text[at:]}
+	expects := rng.IntN(expectEach) == 0
+	text := o.request(rng, expects)
+	pieces := cutUp(text, rng)
+	if expects {
+		body := bytes.Index(text, []byte("\r\n\r\n")) + 4
+		pieces = [][]byte{text[:body], text[body:]}
 	}
 	for i, piece := range pieces {
-		if i > 0 {
+		if i > 0 && expects {
+			if ended, last := s.awaitWord(in, o); ended {
+				return last
+			}
+		} else if i > 0 {
 			time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
 		}
-		if _, err := io.WriteString(c, piece); err != nil {
+		if _, err := c.Write(piece); err != nil {
 			o.lost = "write: " + err.Error()
 			return true
 		}
 		o.written = time.Now()
 	}
+	return s.readAnswer(in, o)
+}
+
+// awaitWord reads the word to go on with a body; ended if a final answer came in its place, after which the connection cannot be
+// used, for its server may or may not read the body.
+func (s *soak) awaitWord(in *bufio.Reader, o *outcome) (ended, last bool) {
+	line, err := in.Peek(len("HTTP/1.1 100 "))
+	if err != nil {
+		o.lost = "read of the word to go on: " + err.Error()
+		return true, true
+	}
+	if string(line) != "HTTP/1.1 100 " {
+		s.readAnswer(in, o)
+		return true, true
+	}
+	for line, err := in.ReadString('\n'); line != "\r\n"; line, err = in.ReadString('\n') {
+		if err != nil {
+			o.lost = "word to go on: " + err.Error()
+			return true, true
+		}
+	}
+	return false, false
+}
+
+// largeEach is how often a request has a large head and a large body: one in so many.
+const largeEach = 16
+
+// request is an op as its client sends it, with its sign.
+func (o *outcome) request(rng *rand.Rand, expects bool) []byte {
+	large := rng.IntN(largeEach) == 0
+	method, opType := "GET", 0
+	if o.writes {
+		method, opType = "POST", 1
+	}
+	b := http1.AppendRequest(nil, []byte(method), []byte(sign.Path("/x", o.op)))
+	b = http1.AppendField(b, "Host", "h")
+	if expects {
+		b = http1.AppendField(b, "Expect", "100-continue")
+	}
+	b = http1.AppendField(b, node.OpField, strconv.FormatUint(o.op, 10))
+	b = http1.AppendField(b, node.TypeField, strconv.Itoa(opType))
+	b = http1.AppendField(b, node.WorkField, strconv.Itoa(rng.IntN(8000)))
+	return http1.AppendBody(sign.AppendFields(b, o.op, large), sign.Body(o.op, large))
+}
+
+// cutUp cuts a request into pieces: three of a large one, at times two of another.
+func cutUp(text []byte, rng *rand.Rand) [][]byte {
+	if len(text) > sign.LargeHead {
+		first := 1 + rng.IntN(len(text)-2)
+		second := first + 1 + rng.IntN(len(text)-first-1)
+		return [][]byte{text[:first], text[first:second], text[second:]}
+	}
+	if rng.IntN(4) == 0 {
+		at := 1 + rng.IntN(len(text)-1)
+		return [][]byte{text[:at], text[at:]}
+	}
+	return [][]byte{text}
+}
+
+// readAnswer reads an op's answer, which must be its own; true if it is the connection's last.
+func (s *soak) readAnswer(in *bufio.Reader, o *outcome) (last bool) {
 	r, err := http.ReadResponse(in, nil)
 	if err != nil {
 		o.lost = "read: " + err.Error()
@@ -101,6 +212,12 @@
 		return true
 	}
 	o.status, o.bare = r.StatusCode, r.StatusCode == 503 && strings.Contains(string(body), "no server")
+	if got := r.Header.Get(sign.Field); got != "" && got != strconv.FormatUint(o.op, 10) {
+		s.failf("op %d got the answer of %s", o.op, got)
+	}
+	if o.status >= 400 && o.status < 500 {
+		s.failf("op %d was answered %d: %.100q", o.op, o.status, body)
+	}
 	if !r.Close {
 		return false
 	}
@@ -110,7 +227,7 @@
 	return true
 }
 
-// crowd has many connections stand at the proxies: idle, with half a request, or sending slowly.
+// crowd has many connections stand at the proxies, each in a manner of its own.
 func (s *soak) crowd() {
 	for i := range 2 * crowdConnections {
 		s.clients.Go(func() {
@@ -120,15 +237,33 @@
 					time.Sleep(50 * time.Millisecond)
 					continue
 				}
-				s.loiter(c, i%3)
+				s.loiter(c, i%manners)
 				c.Close()
 			}
 		})
 	}
 }
 
+// manners are the ways of a crowd's connections: idle, half a request, slow, and one that reads none of its long answers.
+const manners = 4
+
+// Of a connection that reads nothing.
+const (
+	longAnswer = 1 << 20         // bytes
+	stallFor   = 2 * time.Second // then its client closes it
+)
+
 // loiter stands on a connection until it is closed or the run ends.
 func (s *soak) loiter(c net.Conn, manner int) {
+	if manner == manners-1 { // it asks for more than the system holds for it, and reads none of it
+		ask := fmt.Sprintf("GET /x HTTP/1.1\r\nHost: h\r\n%s: %d\r\n\r\n", node.SizeField, longAnswer)
+		_, _ = io.WriteString(c, strings.Repeat(ask, 8))
+		select {
+		case <-s.stop:
+		case <-time.After(stallFor):
+		}
+		return
+	}
 	gone := make(chan struct{})
 	go func() {
 		_, _ = io.Copy(io.Discard, c)
--- a/cmd/vetchdoor/soak_parts_test.go
+++ b/cmd/vetchdoor/soak_parts_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -25,10 +26,14 @@
 	proxyEndsWithin = 2*time.Second + opTimeout + 3*time.Second // operating.md
 	partEndsWithin  = 6 * time.Second                           // of a list service, and of a pilot that is not killed
 	pilotKilledAt   = 700 * time.Millisecond                    // after SIGTERM, the earliest that the platform kills
+	coldFor         = 5 * time.Second
 	readyWithin     = 10 * time.Second
 	mostDescriptors = 96 // of a part with 16 clients, 2 pilots and 4 servers
 )
 
+// dumpWithin is how long a process that hangs has to write its goroutines down.
+const dumpWithin = 500 * time.Millisecond
+
 // Of a run with a crowd.
 const (
 	crowdConnections = 60  // to each proxy
@@ -43,7 +48,7 @@
 }
 
 func soakLimits() object {
-	return object{"empty_for": "2s", "drain_grace": drainGrace.String(), "cold_for": "1s", "cold_share": 0.5, "overload_factor": 4, "fall_after": "2s"}
+	return object{"empty_for": "2s", "drain_grace": drainGrace.String(), "cold_for": coldFor.String(), "cold_share": 0.5, "overload_factor": 4, "fall_after": "2s"}
 }
 
 // decode reads an object as the program reads it from a file.
@@ -66,7 +71,7 @@
 		s.t.Fatal(err)
 	}
 	s.ledger = node.NewLedger()
-	machine := files.Machine{Name: "m", Cores: 4, Speed: [2]float64{1, 1}, Slots: 32, Queue: 64, Connections: 500, ColdShare: 0.5, ColdFor: files.Duration(time.Second)}
+	machine := files.Machine{Name: "m", Cores: 4, Speed: [2]float64{1, 1}, Slots: 32, Queue: 64, Connections: 500, ColdShare: 0.5, ColdFor: files.Duration(coldFor)}
 	for i := range 4 {
 		n := node.New(files.NodeAt{Endpoint: uint32(1 + i), Listen: net.JoinHostPort(s.host, fmt.Sprint(7101+i)), Zone: "z"}, machine, &service, limits, s.seed, s.ledger)
 		if err := n.Start(false); err != nil {
@@ -257,6 +262,8 @@
 	case <-time.After(time.Until(p.termed.Add(within))):
 		if p.killedAt == 0 {
 			p.s.failf("%s has not ended %v after SIGTERM", p.name, within)
+			p.signal(syscall.SIGQUIT) // its goroutines go to its log
+			time.Sleep(dumpWithin)
 		}
 		p.kill()
 		return
@@ -304,7 +311,8 @@
 	}
 	if s.rng.IntN(4) == 0 { // a server is replaced meanwhile
 		n := s.nodes[1+s.rng.IntN(len(s.nodes)-1)]
-		all.Go(func() { s.replaceNode(n) })
+		vanishes := s.rng.IntN(2) == 0
+		all.Go(func() { s.replaceNode(n, vanishes) })
 	}
 	all.Wait()
 }
@@ -352,12 +360,21 @@
 	p.restart()
 }
 
-// replaceNode ends a server in order and starts it again, cold.
-func (s *soak) replaceNode(n *node.Node) {
+// replaceNode ends a server, in order or without a word to anybody, and starts it again, cold.
+func (s *soak) replaceNode(n *node.Node, vanishes bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), opTimeout+time.Second)
 	defer cancel()
-	n.StopInOrder(ctx)
-	if err := n.Start(true); err != nil {
+	if vanishes {
+		n.Stop()
+	} else {
+		n.StopInOrder(ctx)
+	}
+	// A process that is just being started holds a copy of the old listener until it becomes the program.
+	err := n.Start(true)
+	for end := time.Now().Add(readyWithin); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); err = n.Start(true) {
+		time.Sleep(time.Millisecond)
+	}
+	if err != nil {
 		s.failf("server %d: %v", n.Endpoint(), err)
 	}
 }
--- a/cmd/vetchdoor/soak_test.go
+++ b/cmd/vetchdoor/soak_test.go
@@ -15,6 +15,7 @@
 	"vetchdoor/lab/loopback"
 	"vetchdoor/lab/node"
 	"vetchdoor/lab/platform"
+	"vetchdoor/session"
 )
 
 var (
@@ -133,6 +134,7 @@
 	time.Sleep(500 * time.Millisecond)
 	for end := time.Now().Add(soakFor); time.Now().Before(end); {
 		s.step()
+		s.checkChannels()
 		time.Sleep(time.Duration(s.rng.IntN(500)) * time.Millisecond)
 	}
 	s.checkSettled()
@@ -140,6 +142,19 @@
 	s.checkOutcomes()
 }
 
+// checkChannels looks at the queue of each pilot that answers (rule 5), whatever is going on.
+func (s *soak) checkChannels() {
+	for _, p := range s.pilots {
+		info, err := session.Ask("unix:"+filepath.Join(s.dir, p.name+".sock"), "show info", time.Second)
+		if err != nil {
+			continue // it is not there just now
+		}
+		if !strings.Contains(info, "Overflows: 0\n") || !strings.Contains(info, "Panics: 0\n") {
+			s.failf("rule 5: %s says %q", p.name, info)
+		}
+	}
+}
+
 // checkSettled looks at the rules once nothing is disturbed any more: a server that drains gets nothing after the grace, and
 // nobody is without a server.
 func (s *soak) checkSettled() {
@@ -200,8 +215,20 @@
 			effects[e.Op]++
 		}
 	}
+	for _, what := range s.ledger.Mixed() {
+		s.failf("%s", what)
+	}
+	for _, f := range s.ledger.Falls() {
+		s.failf("rule 4: server %d was pushed over as it was cold, at %v", f.Endpoint, f.At.Round(time.Millisecond))
+	}
 	statuses := map[int]int{}
 	for _, o := range s.outcomes {
+		if o.behind {
+			if effects[o.op] > 0 {
+				s.failf("op %d, sent behind the last answer of a connection, took effect", o.op)
+			}
+			continue
+		}
 		statuses[o.status]++
 		if o.lost != "" {
 			s.failf("op %d to proxy %d, written %v after the start, got no whole answer: %s", o.op, o.proxy, o.written.Sub(s.ledger.From()).Round(time.Millisecond), o.lost)
