Cold servers rise by the square of their warm-up where proxies do not avoid what fails them

Cause: a started server's weight rose in even steps with its warm-up, though how it ramps up is not told; one that was slower than its share got a jammed cell's burst 9 s after its start, at five eighths of its weight, 4.3 times what it could do. Where proxies avoid what fails them that ends by itself sooner.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,5 @@
-// Package policy holds every decision of vetchdoor. Assigner.Decide is the only way in: it takes what came
-// to one instance at one moment, its start too, and returns what is to be done. The interface is in package
-// control; docs/design.md tells the design and when each exception acts.
+// Package policy holds every decision of vetchdoor: Assigner.Decide takes what came to one instance and says
+// what is to be done. Package control has the interface, docs/design.md the design and its exceptions.
 package policy
 
 import (
@@ -400,10 +399,8 @@
 	if p == nil || u.OpType < 0 || u.OpType >= len(a.ops) || u.Window <= 0 {
 		return
 	}
-	rate := float64(u.Ops) * a.ops[u.OpType].cost / u.Window.Seconds()
-	change := smoothing * (rate - p.rates[u.OpType])
-	p.rates[u.OpType] += change
-	p.demand += change
+	change := smoothing * (float64(u.Ops)*a.ops[u.OpType].cost/u.Window.Seconds() - p.rates[u.OpType])
+	p.rates[u.OpType], p.demand = p.rates[u.OpType]+change, p.demand+change
 }
 
 func (e *endpoint) usable() bool { return e.mode == control.Ready && !e.sick }
@@ -413,13 +410,17 @@
 	return min(1, max(0, (a.now-e.started).Seconds()/max(a.facts.ColdFor.Seconds(), tiny)))
 }
 
-// fit is the share of its listed weight that a server gets: a quarter at its start or return, then steps up.
+// fit is the share of its listed weight that a server gets: a quarter at its start or return, then steps up,
+// late in its warm-up where proxies go on sending to one that they push over.
 func (a *Assigner) fit(e *endpoint) float64 {
 	stepped := func(done float64) float64 {
 		return min(1, entry+(1-entry)*math.Floor(done*entries)/entries)
 	}
-	back := (a.now - e.turnAt).Seconds() / (easeLags * a.lag()).Seconds()
-	return e.ease * min(stepped(a.cold(e)), stepped(back))
+	back, warm := (a.now-e.turnAt).Seconds()/(easeLags*a.lag()).Seconds(), a.cold(e)
+	if a.facts.OutlierAfter == 0 {
+		warm *= warm
+	}
+	return e.ease * min(stepped(warm), stepped(back))
 }
 
 // can is what a server is given and surely does now, in units of listed weight.
@@ -726,8 +727,7 @@
 	if a.facts.Levels != control.LevelShare || own <= 0 {
 		return 1
 	}
-	share := (a.admitted*total - before) / own
-	return math.Round(50*min(1, max(leastLevel, share))) / 50
+	return math.Round(50*min(1, max(leastLevel, (a.admitted*total-before)/own))) / 50
 }
 
 // want is the weight that a table should give a server.
