Packages and types bear the field's names: adapter, settings, Quarantine, Config, Unusable

Need: drill, facts, warden, Given and Spoilt were words of ours for an adapter, start settings, a quarantine, a configuration file and a message that cannot be used.

Two constants of tests that bore a package's name are startSettings now.

--- a/adapter/adapter_test.go
+++ b/adapter/adapter_test.go
@@ -1,4 +1,4 @@
-package drill
+package adapter
 
 import (
 	"bytes"
@@ -115,11 +115,11 @@
 	return b
 }
 
-const settings = `{"dcs":["a","b"],"grades":[{"effect":"strange","slo":500}],"extra":{"cycle":1000,"lines_per_s":1000,
+const startSettings = `{"dcs":["a","b"],"grades":[{"effect":"strange","slo":500}],"extra":{"cycle":1000,"lines_per_s":1000,
 	"most_waiting":2000,"envelope":3,"proxy_count":2,"unheard_of":[1]},"guarantees":{"cold":9000},"tick":5}`
 
 func powerOn(who uint32) []byte {
-	return put(evPowerOn, who, uint64(9), uint32(len(settings)), []byte(settings))
+	return put(evPowerOn, who, uint64(9), uint32(len(startSettings)), []byte(startSettings))
 }
 
 func list(number uint32, ids ...uint32) []byte {
--- a/adapter/frame.go
+++ b/adapter/frame.go
@@ -1,6 +1,6 @@
-// Package drill speaks the bench's wire: it reads batches of events, hosts the instances they are for, and
+// Package adapter speaks the bench's wire: it reads batches of events, hosts the instances they are for, and
 // writes their orders back. Names and codes of the wire end here; it decides nothing.
-package drill
+package adapter
 
 import (
 	"encoding/binary"
--- a/adapter/serve.go
+++ b/adapter/serve.go
@@ -1,4 +1,4 @@
-package drill
+package adapter
 
 import (
 	"bufio"
@@ -8,8 +8,8 @@
 	"time"
 
 	"vetchdoor/control"
-	"vetchdoor/facts"
 	"vetchdoor/policy"
+	"vetchdoor/settings"
 )
 
 // instance is one hosted assigner. It has nothing in common with its neighbours.
@@ -70,7 +70,7 @@
 		if in == nil || len(in.events) == 0 {
 			continue
 		}
-		orders, fault := in.decide(facts.Span(b.clock - in.born))
+		orders, fault := in.decide(settings.Span(b.clock - in.born))
 		if fault != "" {
 			out.bailOut(who, fault)
 			continue
@@ -113,11 +113,11 @@
 	switch rec.code {
 	case evPowerOn:
 		seed, n := f.u64(), f.u32()
-		settings := f.bytes(n)
+		text := f.bytes(n)
 		if err := f.done(rec.code); err != nil {
 			return 0, err
 		}
-		start, err := facts.Read(settings)
+		start, err := settings.Read(text)
 		if err != nil {
 			return 0, fmt.Errorf("power_on: %w", err)
 		}
@@ -172,7 +172,7 @@
 		out[i] = e.entry
 		out[i].Started = control.LongAgo
 		if e.started > 0 {
-			out[i].Started = facts.Span(e.started - born)
+			out[i].Started = settings.Span(e.started - born)
 		}
 	}
 	return out
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -1,16 +1,16 @@
-// Command drill runs the assigner on the bench's wire, on standard input and output.
+// Command adapter runs the assigner on the bench's wire, on standard input and output.
 package main
 
 import (
 	"fmt"
 	"os"
 
-	"vetchdoor/drill"
+	"vetchdoor/adapter"
 )
 
 func main() {
-	if err := drill.Serve(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "drill:", err)
+	if err := adapter.Serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "adapter:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/vetchdoor/platform.go
+++ b/cmd/vetchdoor/platform.go
@@ -13,7 +13,7 @@
 	var path string
 	c := &cobra.Command{Use: "platform", Short: "runs a pilot on the operators' platform", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, args []string) error {
-			g, err := platform.ReadGiven(path)
+			g, err := platform.ReadConfig(path)
 			if err != nil {
 				return err
 			}
--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -49,8 +49,8 @@
 
 // TestStaticLinkIsSeen builds a program without cgo, for which the check above must fail.
 func TestStaticLinkIsSeen(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "drill")
-	c := exec.Command("go", "build", "-o", path, "vetchdoor/cmd/drill")
+	path := filepath.Join(t.TempDir(), "adapter")
+	c := exec.Command("go", "build", "-o", path, "vetchdoor/cmd/adapter")
 	c.Env = append(os.Environ(), "CGO_ENABLED=0")
 	if out, err := c.CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
--- a/pilot/moves.go
+++ b/pilot/moves.go
@@ -420,8 +420,8 @@
 			r, _ = p.mover.Of(name)
 		}
 		var u tenancy.Use
-		if p.warden != nil {
-			u = p.warden.Met(name)
+		if p.quarantine != nil {
+			u = p.quarantine.Met(name)
 		}
 		per := p.facts.ReportEvery.Seconds()
 		fmt.Fprintf(w, "%s,%g,%g,%g,%t,%g,%s,%s,%d,%.3g,%.3g,%.3g,\n", runtime.Quote("="+name), l.Rate, l.Tries, l.Hand, l.Fenced, l.Room, r.Seat, r.Phase, r.Number,
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -64,7 +64,7 @@
 	book         *book
 	channel      *channel
 	intake       *intake
-	warden       *tenancy.Warden // nil: tenants are not limited
+	quarantine   *tenancy.Quarantine // nil: tenants are not limited
 	uses         []tenancy.Use
 	loads        map[tenancy.PodID]*[2]float64 // what servers said since the last look: sum and number
 	mover        *mover                        // nil: tenants are not moved
@@ -131,13 +131,13 @@
 	p.intake.known = func(id control.EndpointID) bool { _, ok := p.list[id]; return ok }
 	if p.uses, p.loads = nil, map[tenancy.PodID]*[2]float64{}; p.file.Tenants {
 		var kept []tenancy.Sentence
-		if p.warden != nil {
-			kept = p.warden.Sentences()
+		if p.quarantine != nil {
+			kept = p.quarantine.Sentences()
 		} else if p.mover != nil {
 			kept = p.mover.kept
 		}
-		p.warden = tenancy.NewWarden(p.facts.ReportEvery)
-		p.warden.Restore(kept)
+		p.quarantine = tenancy.NewQuarantine(p.facts.ReportEvery)
+		p.quarantine.Restore(kept)
 		for _, s := range kept {
 			p.book.limits[s.Tenant] = runtime.LimitOf(s.Limit)
 		}
@@ -223,13 +223,13 @@
 	}
 }
 
-// limitTenants has the warden look at a period and sends what it says. Where the channel is half full it waits a period:
+// limitTenants has the quarantine look at a period and sends what it says. Where the channel is half full it waits a period:
 // the module's lines go first.
 func (p *Pilot) limitTenants() {
-	if p.warden == nil || p.channel.waiting > p.channel.most/2 {
+	if p.quarantine == nil || p.channel.waiting > p.channel.most/2 {
 		return
 	}
-	limits := p.warden.Step(p.uses, p.podLoads())
+	limits := p.quarantine.Step(p.uses, p.podLoads())
 	p.uses = nil
 	for _, l := range limits {
 		p.records.limited(l)
@@ -237,7 +237,7 @@
 	}
 	if len(limits) > 0 {
 		if p.mover != nil {
-			p.mover.disk.sentences(p.warden.Sentences())
+			p.mover.disk.sentences(p.quarantine.Sentences())
 		}
 		p.sendLimits(limits)
 	}
@@ -285,7 +285,7 @@
 
 // used takes in what a proxy met of tenants, and how busy servers said they are.
 func (p *Pilot) used(s *runtime.Sums) {
-	if p.warden == nil {
+	if p.quarantine == nil {
 		return
 	}
 	if busy := slices.Index(p.file.Service.Measures, "cpu_utilization"); busy >= 0 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,6 +1,6 @@
-// Package facts reads the operators' start settings, the JSON object that an instance is given, for the bench's adapter
+// Package settings reads the operators' start settings, the JSON object that an instance is given, for the bench's adapter
 // and for the real pilot alike. Read is the way in. It needs the standard library alone and decides nothing.
-package facts
+package settings
 
 import (
 	"encoding/json"
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,4 +1,4 @@
-package facts
+package settings
 
 import (
 	"slices"
--- a/tenancy/bench_test.go
+++ b/tenancy/bench_test.go
@@ -8,7 +8,7 @@
 
 // A period of ten thousand tenants, each at three pods.
 func BenchmarkWarden(b *testing.B) {
-	w := NewWarden(time.Second)
+	w := NewQuarantine(time.Second)
 	var uses []Use
 	for i := range 10_000 {
 		for p := range 3 {
--- a/tenancy/quarantine.go
+++ b/tenancy/quarantine.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// The warden's numbers. Shares are from 0 to 1, spans in periods of the sums.
+// The quarantine's numbers. Shares are from 0 to 1, spans in periods of the sums.
 const (
 	suffers   = 0.12 // of a pod's tries failing: it suffers
 	hotLoad   = 0.88 // or so busy
@@ -78,7 +78,7 @@
 	Fences int
 }
 
-// watched is a tenant as the warden knows it.
+// watched is a tenant as the quarantine knows it.
 type watched struct {
 	name   string
 	ops    float64 // running means a period
@@ -94,24 +94,24 @@
 	idle           int
 }
 
-// Warden finds the tenants that harm others and says what they may still use.
-type Warden struct {
+// Quarantine finds the tenants that harm others and says what they may still use.
+type Quarantine struct {
 	period  time.Duration
 	tenants map[string]*watched
 	load    map[PodID]float64
 	settled int // periods since somebody was limited or fenced
 }
 
-// NewWarden starts one; sums come once a period.
-func NewWarden(period time.Duration) *Warden {
-	return &Warden{period: period, tenants: map[string]*watched{}, load: map[PodID]float64{}, settled: settling}
+// NewQuarantine starts one; sums come once a period.
+func NewQuarantine(period time.Duration) *Quarantine {
+	return &Quarantine{period: period, tenants: map[string]*watched{}, load: map[PodID]float64{}, settled: settling}
 }
 
 // Folded is the name under which the lightest tenants are kept together where there are too many; it is never limited.
 const Folded = "\x00folded"
 
 // Step takes a period's sums and returns the limits that changed, by tenant.
-func (w *Warden) Step(uses []Use, health []Health) []Limit {
+func (w *Quarantine) Step(uses []Use, health []Health) []Limit {
 	for _, h := range health {
 		w.load[h.Pod] = h.Load
 	}
@@ -151,7 +151,7 @@
 }
 
 // Met returns the running mean of what was met of a tenant over a period.
-func (w *Warden) Met(name string) Use {
+func (w *Quarantine) Met(name string) Use {
 	t := w.tenants[name]
 	if t == nil {
 		return Use{Tenant: name}
@@ -160,7 +160,7 @@
 }
 
 // Restore takes back what a pilot that ended had said. Its periods of good behaviour begin anew.
-func (w *Warden) Restore(kept []Sentence) {
+func (w *Quarantine) Restore(kept []Sentence) {
 	for _, s := range kept {
 		if len(w.tenants) < mostKept {
 			w.tenants[s.Tenant] = &watched{name: s.Tenant, pods: map[PodID]*[2]float64{}, limit: s.Limit, fences: s.Fences}
@@ -169,7 +169,7 @@
 }
 
 // Sentences returns all limits that stand, by tenant.
-func (w *Warden) Sentences() (out []Sentence) {
+func (w *Quarantine) Sentences() (out []Sentence) {
 	for _, name := range slices.Sorted(maps.Keys(w.tenants)) {
 		if t := w.tenants[name]; !t.limit.Free() {
 			out = append(out, Sentence{t.limit, t.fences})
@@ -179,7 +179,7 @@
 }
 
 // fold keeps the number of tenants within its bound: those that are kept already and the busiest of the new ones.
-func (w *Warden) fold(uses []Use) []Use {
+func (w *Quarantine) fold(uses []Use) []Use {
 	fresh := map[string]time.Duration{}
 	for _, u := range uses {
 		if w.tenants[u.Tenant] == nil {
@@ -238,7 +238,7 @@
 // share; it returns the part of what it uses now that would be fair.
 // One whose every op fails, where others fare far better and pods suffer, is a cause whatever time it takes.
 // It returns too what part of its pods' capacity each tenant takes.
-func (w *Warden) causes() (map[string]cause, map[string]float64) {
+func (w *Quarantine) causes() (map[string]cause, map[string]float64) {
 	type pod struct{ busy, failed, ops, users float64 }
 	pods := map[PodID]*pod{}
 	for _, t := range w.tenants {
--- a/tenancy/quarantine_test.go
+++ b/tenancy/quarantine_test.go
@@ -7,7 +7,7 @@
 )
 
 // evening plays periods of twenty tenants on three pods, of which one may do as the case says, and keeps the last limits.
-func evening(w *Warden, periods int, limits map[string]Limit, play func(i int, u *Use), load float64) (changes int) {
+func evening(w *Quarantine, periods int, limits map[string]Limit, play func(i int, u *Use), load float64) (changes int) {
 	for range periods {
 		var uses []Use
 		for i := range 20 {
@@ -56,7 +56,7 @@
 			}
 		}, 0.95, true},
 	} {
-		w, limits := NewWarden(time.Second), map[string]Limit{}
+		w, limits := NewQuarantine(time.Second), map[string]Limit{}
 		evening(w, 3, limits, c.play, c.load)
 		if l, ok := limits["t7"]; ok != c.fence || c.fence && (l.Fenced || l.Rate <= 0 || l.Tries != 0) {
 			t.Errorf("%s: after three periods %+v", c.name, limits)
@@ -67,7 +67,7 @@
 		}
 	}
 	// While the queues that a flood left still make pods suffer, the biggest of the others is no cause.
-	w, limits := NewWarden(time.Second), map[string]Limit{}
+	w, limits := NewQuarantine(time.Second), map[string]Limit{}
 	evening(w, 4, limits, flood, 0.6)
 	evening(w, 3, limits, func(i int, u *Use) {
 		if u.Failed = 3; i == 2 {
@@ -79,7 +79,7 @@
 	if len(limits) != 1 {
 		t.Errorf("%+v", limits)
 	}
-	w, limits = NewWarden(time.Second), map[string]Limit{}
+	w, limits = NewQuarantine(time.Second), map[string]Limit{}
 	back := func() (periods int) {
 		evening(w, 8, limits, flood, 0.6)
 		if !limits["t7"].Fenced {
@@ -119,7 +119,7 @@
 		play   func(int, *Use)
 		fenced bool
 	}{{"ruins", poison(2), true}, {"fails alone", poison(0), false}, {"all fail", poison(9), false}} {
-		w, limits := NewWarden(time.Second), map[string]Limit{}
+		w, limits := NewQuarantine(time.Second), map[string]Limit{}
 		evening(w, 4, limits, c.play, 0.5)
 		if l := limits["t7"]; l.Fenced != c.fenced || c.fenced && (l.Rate > 1 || l.Hand > 1 || l.Tries != 0) || len(limits) > 1 {
 			t.Errorf("%s: %+v", c.name, limits)
@@ -135,7 +135,7 @@
 			u.Ops, u.Busy = 1000, 20*time.Second
 		}
 	}
-	w, limits := NewWarden(time.Second), map[string]Limit{}
+	w, limits := NewQuarantine(time.Second), map[string]Limit{}
 	evening(w, asking-1, limits, big, 0.7)
 	if len(limits) != 0 {
 		t.Errorf("%+v", limits)
@@ -156,7 +156,7 @@
 	if l := limits["t7"]; !l.Limited() || l.Room != 1 {
 		t.Errorf("%+v", l)
 	}
-	w, limits = NewWarden(time.Second), map[string]Limit{}
+	w, limits = NewQuarantine(time.Second), map[string]Limit{}
 	evening(w, 2*asking, limits, big, 0.7)
 	evening(w, 3*asking*doublings, limits, func(int, *Use) {}, 0.5)
 	if l := limits["t7"]; !l.Free() {
@@ -167,7 +167,7 @@
 // What a pilot had said stands when the next run takes it back, and a fence that comes again is as long as if there had been
 // no end.
 func TestRestore(t *testing.T) {
-	w, limits := NewWarden(time.Second), map[string]Limit{}
+	w, limits := NewQuarantine(time.Second), map[string]Limit{}
 	bad := func(i int, u *Use) {
 		if u.Failed = 3; i == 7 {
 			u.Ops, u.Failed, u.Busy = 2000, 1500, 60*time.Second
@@ -178,7 +178,7 @@
 	if len(kept) != 1 || !kept[0].Fenced || kept[0].Fences != 1 {
 		t.Fatalf("%+v", kept)
 	}
-	w = NewWarden(time.Second)
+	w = NewQuarantine(time.Second)
 	w.Restore(kept)
 	if got := w.Sentences(); len(got) != 1 || got[0] != kept[0] {
 		t.Errorf("%+v", got)
@@ -194,7 +194,7 @@
 
 // Tenants by the ten thousand, hostile names among them, are kept within bounds; those that stay away are forgotten.
 func TestManyTenants(t *testing.T) {
-	w := NewWarden(time.Second)
+	w := NewQuarantine(time.Second)
 	var uses []Use
 	for i := range 10_000 {
 		uses = append(uses, Use{Tenant: fmt.Sprintf("tenant %d\n;<<", i), Pod: PodID(i % 30), Ops: 1, Busy: time.Duration(i) * time.Millisecond})
