--- a/http1/cut_test.go
+++ b/http1/cut_test.go
@@ -12,26 +12,26 @@
 func TestEveryCut(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		parser func() *Parser
+		parser func(Bounds) *Parser
 		in     string
 		ended  bool
 	}{
-		{"request", requests, "POST /p?q=1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer one\r\nContent-Length: 6\r\n\r\nabcdef", false},
-		{"request without a body", requests, "GET /p HTTP/1.1\r\nHost: a\r\nAccept: text/plain\r\n\r\n", false},
-		{"chunked request", requests, "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: v\r\nU: w\r\n\r\n", false},
-		{"answer", responses, "HTTP/1.1 200 Very good\r\nX-One: 1\r\nContent-Length: 5\r\n\r\nabcde", false},
-		{"chunked answer", responses, "HTTP/1.1 404 No\r\nX-One: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT: v\r\n\r\n", false},
-		{"answer until the end", responses, "HTTP/1.1 200 OK\r\nX-One: 1\r\n\r\nabcde", true},
+		{"request", Requests, "POST /p?q=1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer one\r\nContent-Length: 6\r\n\r\nabcdef", false},
+		{"request without a body", Requests, "GET /p HTTP/1.1\r\nHost: a\r\nAccept: text/plain\r\n\r\n", false},
+		{"chunked request", Requests, "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: v\r\nU: w\r\n\r\n", false},
+		{"answer", Responses, "HTTP/1.1 200 Very good\r\nX-One: 1\r\nContent-Length: 5\r\n\r\nabcde", false},
+		{"chunked answer", Responses, "HTTP/1.1 404 No\r\nX-One: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT: v\r\n\r\n", false},
+		{"answer until the end", Responses, "HTTP/1.1 200 OK\r\nX-One: 1\r\n\r\nabcde", true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			whole, err := c.parser().Parse([]byte(c.in), c.ended)
+			whole, err := c.parser(Usual).Parse([]byte(c.in), c.ended)
 			if err != nil {
 				t.Fatal(err)
 			}
 			want := describe(whole)
 			for first := 1; first < len(c.in); first++ {
 				for second := first; second < len(c.in); second++ {
-					if got := parsePieces(t, c.parser(), c.in, c.ended, first, second); got != want {
+					if got := parsePieces(t, c.parser(Usual), c.in, c.ended, first, second); got != want {
 						t.Fatalf("cut at %d and %d:\n%s\nwant:\n%s", first, second, got, want)
 					}
 				}
@@ -40,9 +40,6 @@
 	}
 }
 
-func requests() *Parser  { return Requests(Usual) }
-func responses() *Parser { return Responses(Usual) }
-
 // parsePieces hands over what has come at each cut and then all, and overwrites what it handed over before.
 func parsePieces(t *testing.T, p *Parser, in string, ended bool, cuts ...int) string {
 	for _, cut := range cuts {
--- a/lab/link/memory_test.go
+++ b/lab/link/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"testing"
 	"time"
@@ -28,10 +29,8 @@
 			seen = append(seen, string(second), string(third))
 			err4 := r.Release()
 			seen = append(seen, string(third))
-			for _, err := range []error{err, err2, err3, err4} {
-				if err != nil {
-					t.Error(err)
-				}
+			if err := errors.Join(err, err2, err3, err4); err != nil {
+				t.Error(err)
 			}
 			return r.Skip(r.Len())
 		}})
--- a/pilot/notices_test.go
+++ b/pilot/notices_test.go
@@ -12,10 +12,7 @@
 // never gets its turn: what has no room waits, newest place alone, until lines are confirmed or their proxy leaves.
 func TestNoticesKeepTheirBudget(t *testing.T) {
 	b := newBook(1, 3, at)
-	var bound []control.Order
-	for _, e := range []control.EndpointID{5, 6} {
-		bound = append(bound, control.PutLine{Table: 0, Endpoint: e, Weight: 1})
-	}
+	bound := []control.Order{control.PutLine{Endpoint: 5, Weight: 1}, control.PutLine{Endpoint: 6, Weight: 1}}
 	for id := range control.ProxyID(4) {
 		b.join(id, nil, false, 0)
 		bound = append(bound, control.Bind{Table: 0, Proxy: id})
--- a/pilot/pilot_test.go
+++ b/pilot/pilot_test.go
@@ -16,11 +16,10 @@
 	"testing"
 	"time"
 
-	"go.uber.org/goleak"
-
 	"vetchdoor/control"
 	"vetchdoor/files"
 	"vetchdoor/http1"
+	"vetchdoor/lab/leak"
 	"vetchdoor/lab/link"
 	stand "vetchdoor/lab/roster"
 	"vetchdoor/pilot/host"
@@ -31,10 +30,7 @@
 	sessions "vetchdoor/session"
 )
 
-func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*defaultPoll).Wait"),
-		goleak.IgnoreAnyFunction("vetchdoor/stream.work"))
-}
+func TestMain(m *testing.M) { leak.Main(m) }
 
 // script is a module that orders what a test says and remembers what it was told.
 type script struct {
--- a/proxy/pieces_test.go
+++ b/proxy/pieces_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -78,12 +79,9 @@
 	var answers sync.WaitGroup
 	for _, c := range all {
 		answers.Go(func() {
-			if _, err := io.WriteString(c, c.text[c.sent:]); err != nil {
-				t.Error(err)
-				return
-			}
-			r, err := http.ReadResponse(bufio.NewReader(c), nil)
-			if err != nil {
+			_, err := io.WriteString(c, c.text[c.sent:])
+			r, err2 := http.ReadResponse(bufio.NewReader(c), nil)
+			if err := errors.Join(err, err2); err != nil {
 				t.Errorf("%s: %v", c.sign, err)
 				return
 			}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -18,19 +18,15 @@
 	"testing"
 	"time"
 
-	"go.uber.org/goleak"
-
 	"vetchdoor/control"
 	"vetchdoor/files"
 	"vetchdoor/http1"
+	"vetchdoor/lab/leak"
 	"vetchdoor/runtime"
 	"vetchdoor/tenancy"
 )
 
-func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*defaultPoll).Wait"),
-		goleak.IgnoreAnyFunction("vetchdoor/stream.work"))
-}
+func TestMain(m *testing.M) { leak.Main(m) }
 
 func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -11,17 +11,13 @@
 	"testing"
 	"time"
 
-	"go.uber.org/goleak"
-
 	"vetchdoor/http1"
+	"vetchdoor/lab/leak"
 	"vetchdoor/serve"
 	"vetchdoor/upstream"
 )
 
-func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*defaultPoll).Wait"),
-		goleak.IgnoreAnyFunction("vetchdoor/stream.work"))
-}
+func TestMain(m *testing.M) { leak.Main(m) }
 
 func start(t *testing.T, s *serve.Server) *serve.Server {
 	if err := s.Start("127.0.0.1:0"); err != nil {
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -9,13 +9,11 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
-	"go.uber.org/goleak"
+
+	"vetchdoor/lab/leak"
 )
 
-func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*defaultPoll).Wait"),
-		goleak.IgnoreAnyFunction("vetchdoor/stream.work"))
-}
+func TestMain(m *testing.M) { leak.Main(m) }
 
 // told is a handler that says when its connection ended.
 type told chan bool
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -9,15 +9,11 @@
 	"testing"
 	"time"
 
-	"go.uber.org/goleak"
-
+	"vetchdoor/lab/leak"
 	"vetchdoor/upstream"
 )
 
-func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*defaultPoll).Wait"),
-		goleak.IgnoreAnyFunction("vetchdoor/stream.work"))
-}
+func TestMain(m *testing.M) { leak.Main(m) }
 
 // patience is how long a call waits for anything.
 const patience = 20 * time.Second
