A proxy tells a table without a server from a server that did not take the op

Change: 'no server' where there is none to pick, 'no server took it' where one was picked and the op surely did not run.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -387,8 +387,10 @@
 	switch {
 	case last != nil && last.Timeout:
 		p.answer(c, s, 504, "no answer in time", p.retryAfter())
-	case len(state.ran) == 0: // none was there, or none would take it: the client may well try again
+	case last == nil && len(state.ran) == 0:
 		p.answer(c, s, 503, "no server", p.retryAfter())
+	case len(state.ran) == 0: // the client may well try again
+		p.answer(c, s, 503, "no server took it", p.retryAfter())
 	default:
 		p.answer(c, s, 502, "no answer", p.retryAfter())
 	}
