Tests of serve trace their servers: accepted, registered, read, answered, refused

TestStopAnswersWhatComes failed once with 100 connections closed unanswered, and nothing told why: it reads them in turn, so one stalled answer fails them all, and so does a refusal that outlasts the idle time of 2 s.

Change: a server that a test starts notes, for each connection, when it was accepted, registered with netpoll, read, answered, gone and closed; when it was told to refuse and to stop, and had done so; and gaps of over 50 ms in which no goroutine was scheduled. A test that fails prints it. No test's own lines change.

--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -22,6 +22,7 @@
 func TestMain(m *testing.M) { leak.Main(m) }
 
 func start(t *testing.T, s *serve.Server) *serve.Server {
+	traced(t, s)
 	if err := s.Start("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
