A server told to stop refuses at once, however fast clients dial

Callers saw: a server that was told to stop while clients went on dialling accepted them for as long as they did, and meanwhile closed the connections made before as idle, after 2 s, so that requests written on these got no answer.

Cause: Refuse looked once a millisecond for a moment in which nobody waits to be accepted, and shut the socket down only then. The filter that was to keep others out meanwhile is refused here ('operation not supported'), and the error was passed over. netpoll accepts one connection each time it polls, so clients that dial as fast leave no such moment.

Change: Refuse takes over what waits itself and shuts the socket down under the same lock as the look that finds none; Accept hands it to netpoll afterwards. What was taken over goes first also while descriptors have run out.

Why it works: a refusal depends neither on how fast connections are handed on nor on how fast others dial, and Refuse still returns only once netpoll has prepared all that were made before.

--- a/stream/net.go
+++ b/stream/net.go
@@ -107,18 +107,14 @@
 
 func (s *socketServer) Address() string { return s.address }
 
-// refuseWithin bounds the time in which the loop lets go of its listener.
-const refuseWithin = time.Second
-
-// Refuse shuts the listening socket down, which the loop takes for its end; it does not look at its connections then, as it
-// does when it is itself shut down.
+// Refuse has the listener refuse, and waits until the loop has taken over what the listener had accepted and let go of it; it does not
+// look at its connections then, as it does when it is itself shut down.
 func (s *socketServer) Refuse(ctx context.Context) {
 	s.ln.acceptRest(ctx)
-	s.ln.shut()
 	select {
 	case <-s.done:
 		_ = s.ln.Close() // the loop has let go of the descriptor
-	case <-time.After(refuseWithin): // Stop closes it
+	case <-ctx.Done(): // Stop closes it
 	}
 }
 
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -321,6 +321,9 @@
 // of the context.
 func (l *Listener) Refuse(ctx context.Context) { l.server.Refuse(ctx) }
 
+// refuseWithin bounds the time in which those that wait are accepted at a stop.
+const refuseWithin = time.Second
+
 // Stop takes no more connections and ends each there is once what was sent to it is written, or its peer has not taken that
 // in time; then it closes.
 func (l *Listener) Stop() {
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -94,6 +94,21 @@
 		t.Fatal(err)
 	}
 	defer peer.Close()
+	var full error
+	withoutDescriptors(t, func() { _, full = l.Accept() })
+	if no, ok := full.(syscall.Errno); !ok || no != syscall.EMFILE {
+		t.Errorf("%T %v", full, full)
+	}
+	c, err := l.Accept()
+	if err != nil || c == nil {
+		t.Fatalf("%v %v", c, err)
+	}
+	_ = syscall.Close(c.(netpoll.Conn).Fd())
+}
+
+// withoutDescriptors calls a function while the process has no descriptor left.
+func withoutDescriptors(t *testing.T, call func()) {
+	t.Helper()
 	var was syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &was); err != nil {
 		t.Fatal(err)
@@ -107,19 +122,11 @@
 	for f, err := os.Open(os.DevNull); err == nil; f, err = os.Open(os.DevNull) {
 		held = append(held, f)
 	}
-	_, full := l.Accept()
+	call()
 	for _, f := range held {
 		f.Close()
 	}
 	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &was); err != nil {
 		t.Fatal(err)
 	}
-	if no, ok := full.(syscall.Errno); !ok || no != syscall.EMFILE {
-		t.Errorf("%T %v", full, full)
-	}
-	c, err := l.Accept()
-	if err != nil || c == nil {
-		t.Fatalf("%v %v", c, err)
-	}
-	_ = syscall.Close(c.(netpoll.Conn).Fd())
 }
