TestEndWhileAccepting prints its trace where it fails

Not the cause of TestStopAnswersWhatComes: its stops have a context that is over, with which nothing is refused.

Change: its servers are traced as the other tests' are, and the trace notes when a connection was prepared. No check changes.

--- a/serve/ends_test.go
+++ b/serve/ends_test.go
@@ -21,6 +21,7 @@
 	for n := range servers {
 		var opened, closed atomic.Int64
 		s := &serve.Server{Handle: ok, Open: func(*serve.Conn) bool { opened.Add(1); return true }, Closed: func(*serve.Conn) { closed.Add(1) }}
+		tr := traceServer(s)
 		if err := s.Start("127.0.0.1:0"); err != nil {
 			t.Fatal(err)
 		}
@@ -37,8 +38,9 @@
 			time.Sleep(time.Millisecond)
 		}
 		if opened.Load() != closed.Load() {
-			t.Errorf("server %d: %d connections opened, %d closed", n, opened.Load(), closed.Load())
+			t.Errorf("server %d: %d connections opened, %d closed\n%s", n, opened.Load(), closed.Load(), tr)
 		}
+		tr.stop()
 		for range clients {
 			if c := <-dialled; c != nil {
 				c.Close()
--- a/serve/trace_test.go
+++ b/serve/trace_test.go
@@ -15,10 +15,10 @@
 	"vetchdoor/stream"
 )
 
-// trace keeps what happened to a server's connections and when, and prints it if the test fails.
+// trace keeps what happened to a server's connections and when.
 type trace struct {
 	began  time.Time
-	ended  chan struct{} // closed with the test
+	ended  chan struct{} // closed by stop
 	mu     sync.Mutex
 	events []string
 }
@@ -29,9 +29,20 @@
 	mostGap   = 50 * time.Millisecond
 )
 
-// traced has a server tell a trace of each connection: when it was accepted, registered, read and answered, and when its end was told
-// of; also of when the server was told to refuse and to stop, and had done so.
+// traced has a server that a test starts tell a trace, which is printed if the test fails.
 func traced(t *testing.T, s *serve.Server) {
+	tr := traceServer(s)
+	t.Cleanup(func() {
+		tr.stop()
+		if t.Failed() {
+			t.Logf("what happened, and how long after the server's start:\n%s", tr)
+		}
+	})
+}
+
+// traceServer has a server tell of each connection: when it was accepted, registered, read and answered, and when its end was told of;
+// also of when the server was told to refuse and to stop, and had done so. The trace is to be stopped.
+func traceServer(s *serve.Server) *trace {
 	tr := &trace{began: time.Now(), ended: make(chan struct{})}
 	handle := s.Handle
 	s.Handle = func(c *serve.Conn, m *http1.Message) {
@@ -41,14 +52,12 @@
 	}
 	s.Net = tracedNet{stream.Over(s.Net), tr}
 	go tr.beat()
-	t.Cleanup(func() {
-		close(tr.ended)
-		if t.Failed() {
-			t.Logf("what happened, and how long after the server's start:\n%s", tr)
-		}
-	})
+	return tr
 }
 
+// stop ends the look at how goroutines are scheduled.
+func (tr *trace) stop() { close(tr.ended) }
+
 func (tr *trace) note(format string, values ...any) {
 	since := time.Since(tr.began)
 	line := fmt.Sprintf("%10.3fms ", float64(since.Microseconds())/1000) + fmt.Sprintf(format, values...)
@@ -100,6 +109,7 @@
 		c := &tracedConn{remote: nc.RemoteAddr().String()}
 		n.trace.note("%s accepted", c.remote)
 		ctx := prepare(nc)
+		n.trace.note("%s prepared", c.remote)
 		_ = nc.AddCloseCallback(func(netpoll.Connection) error {
 			n.trace.note("%s closed", c.remote)
 			return nil
