stream.Guard ends accepted connections for stream and serve alike

stream.Conn and serve.Conn each kept by themselves whether netpoll's poller knows a connection and whether its descriptor may be another's by now. Change: one type in stream does, used by both; no change of behaviour.

--- a/serve/conn.go
+++ b/serve/conn.go
@@ -25,9 +25,7 @@
 	last    atomic.Int64 // when it last did something, Unix nanoseconds
 	state   atomic.Int32
 	dropped atomic.Bool // what still comes is not answered
-
-	// registered says that the poller knows it. netpoll closes a connection safely only from then on.
-	registered atomic.Bool
+	guard   *stream.Guard
 }
 
 // States of a connection.
@@ -39,6 +37,7 @@
 
 // ended tells, once, that the connection is gone.
 func (c *Conn) ended() {
+	c.guard.Release()
 	c.mu.Lock()
 	was, f := c.gone, c.onGone
 	c.gone, c.onGone = true, nil
@@ -97,32 +96,17 @@
 		return false
 	}
 	c.last.Store(time.Now().UnixNano())
-	if !c.shutWrite() {
+	if !c.guard.ShutWrite() {
 		_ = c.nc.Close()
 	}
 	return true
 }
 
-// shutWrite closes the socket towards the client; false where it is gone, and its descriptor perhaps another's by now.
-func (c *Conn) shutWrite() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.gone && stream.ShutWrite(c.nc)
-}
-
 // Drop ends the connection at once, in the midst of whatever is under way. netpoll reads on while a request is in hand,
-// even from a connection that was closed, so the socket is shut down first. It cannot be another's by now: netpoll closes
-// it after ended was called. Before it is registered the poller is left to close it.
+// even from a connection that was closed, so the socket is shut down first.
 func (c *Conn) Drop() {
 	c.dropped.Store(true)
-	c.mu.Lock()
-	if !c.gone {
-		stream.Shut(c.nc)
-	}
-	c.mu.Unlock()
-	if c.registered.Load() {
-		_ = c.nc.Close()
-	}
+	c.guard.Abort()
 	c.ended()
 }
 
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -43,12 +43,9 @@
 	out      []byte
 	flushing bool
 	ending   bool // close once what is pending is written
-	released bool // netpoll closes the descriptor, which may be another's next
 	once     sync.Once
 	closing  atomic.Bool // by Close: what still comes is not taken
-
-	// registered says that the poller knows it. netpoll closes an accepted connection safely only from then on.
-	registered atomic.Bool
+	guard    *Guard
 }
 
 // network splits an address: unix:PATH, or HOST:PORT.
@@ -66,8 +63,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	c := &Conn{nc: nc, handler: h}
-	c.registered.Store(true)
+	c := &Conn{nc: nc, handler: h, guard: NewGuard(nc)}
+	c.guard.Register()
 	// The callback comes first: once there is a request handler netpoll may end the connection at any time.
 	err = nc.AddCloseCallback(func(netpoll.Connection) error { c.finish(); return nil })
 	if err == nil {
@@ -86,9 +83,7 @@
 
 // finish takes what netpoll has read and not handed on, which it may keep at the end, and tells the handler that there is no more.
 func (c *Conn) finish() {
-	c.mu.Lock()
-	c.released = true
-	c.mu.Unlock()
+	c.guard.Release()
 	c.read()
 	c.ended()
 }
@@ -105,7 +100,7 @@
 
 // request takes what has come on an accepted connection.
 func (c *Conn) request() error {
-	c.registered.Store(true)
+	c.guard.Register()
 	c.read()
 	if c.closing.Load() {
 		return c.nc.Close() // else netpoll would call for what is left without end
@@ -211,23 +206,10 @@
 // Close closes the connection at once. The handler is told.
 func (c *Conn) Close() {
 	c.closing.Store(true)
-	if c.registered.Load() {
-		_ = c.nc.Close()
-	} else {
-		c.shut()
-	}
+	c.guard.Close()
 	c.ended()
 }
 
-// shut ends the connection for the peer and for the poller, which closes it when it comes to know it.
-func (c *Conn) shut() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.released {
-		Shut(c.nc)
-	}
-}
-
 // Listener accepts connections.
 type Listener struct {
 	address string
@@ -250,12 +232,10 @@
 	}
 	l := &Listener{address: address, conns: map[*Conn]bool{}}
 	prepare := func(nc netpoll.Connection) context.Context {
-		c := &Conn{nc: nc}
+		c := &Conn{nc: nc, guard: NewGuard(nc)}
 		handler := accept(c)
 		if handler == nil {
-			c.mu.Lock()
-			c.released = true
-			c.mu.Unlock()
+			c.guard.Release()
 			_ = nc.Close()
 			return context.Background()
 		}
